--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,68 @@
+// Standard formatting through @stylistic, strict types through typescript-eslint,
+// and the rule that keeps the decision library free of input and output.
+import stylistic from '@stylistic/eslint-plugin'
+import tseslint from 'typescript-eslint'
+
+const INPUT_OUTPUT_MODULES = [
+  'node:*', 'fs', 'net', 'http', 'https', 'dgram', 'timers', 'child_process', 'os', 'worker_threads',
+  'fastify', 'undici', 'roarr', 'hot-shots'
+]
+
+const NONDETERMINISTIC_GLOBALS = [
+  'setTimeout', 'setInterval', 'setImmediate', 'queueMicrotask', 'process', 'performance', 'fetch', 'crypto', 'console'
+]
+
+export default tseslint.config(
+  { ignores: ['**/dist/', '**/generated/', 'reports/'] },
+  ...tseslint.configs.strictTypeChecked,
+  stylistic.configs.customize({ indent: 2, quotes: 'single', semi: false, commaDangle: 'never', braceStyle: '1tbs', arrowParens: false }),
+  {
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] }, tsconfigRootDir: import.meta.dirname }
+    },
+    rules: {
+      '@stylistic/space-before-function-paren': ['error', 'always'],
+      '@stylistic/list-style': 'off',
+      '@stylistic/arrow-parens': ['error', 'as-needed'],
+      '@stylistic/quote-props': ['error', 'as-needed'],
+      '@stylistic/member-delimiter-style': ['error', {
+        multiline: { delimiter: 'none' }, singleline: { delimiter: 'comma', requireLast: false }
+      }],
+      '@stylistic/operator-linebreak': ['error', 'after', { overrides: { '?': 'before', ':': 'before', '|': 'before' } }],
+      '@stylistic/max-statements-per-line': ['error', { max: 2 }],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': ['error', { considerDefaultExhaustiveForUnions: true }],
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true, allowBoolean: true }],
+      '@typescript-eslint/no-extraneous-class': 'off',
+      'no-restricted-syntax': ['error', {
+        selector: 'ImportDeclaration[source.value!="node:test"] > ImportSpecifier',
+        message: 'Import modules as a namespace.'
+      }],
+      'max-lines': ['error', { max: 300, skipBlankLines: true, skipComments: true }]
+    }
+  },
+  {
+    files: ['packages/*/src/**/*.ts'],
+    rules: { 'max-lines-per-function': ['error', { max: 40, skipBlankLines: true, skipComments: true }] }
+  },
+  {
+    files: ['packages/decisions/src/**/*.ts'],
+    rules: {
+      'no-restricted-imports': ['error', { patterns: [{ group: INPUT_OUTPUT_MODULES, message: 'The decision library does no input or output.' }] }],
+      'no-restricted-globals': ['error', ...NONDETERMINISTIC_GLOBALS],
+      'no-restricted-properties': ['error',
+        { object: 'Date', property: 'now', message: 'Time is an input of the engine.' },
+        { object: 'Math', property: 'random', message: 'Use the seeded generator of the turn.' }
+      ]
+    }
+  },
+  {
+    // node:test returns promises that the runner itself awaits.
+    files: ['packages/*/tests/**/*.ts'],
+    rules: { '@typescript-eslint/no-floating-promises': 'off' }
+  },
+  {
+    files: ['eslint.config.js'],
+    extends: [tseslint.configs.disableTypeChecked]
+  }
+)
--- /dev/null
+++ b/packages/decisions/src/admission/limits.ts
@@ -0,0 +1,13 @@
+/** Section `limits`: concurrency and queues of this node's targets. Written by Admission. */
+import type * as Ids from '../core/ids.js'
+
+export interface TargetLimit {
+  /** Requests that may run at once. */
+  readonly limit: number
+  readonly running: number
+  readonly queued: number
+}
+
+export class Limits {
+  readonly byTarget = new Map<Ids.TargetId, TargetLimit>()
+}
--- /dev/null
+++ b/packages/decisions/src/burn/counters.ts
@@ -0,0 +1,3 @@
+/** Section `burn`: service-level counters. Written by Burn. */
+export class Counters {
+}
--- /dev/null
+++ b/packages/decisions/src/core/random.ts
@@ -0,0 +1,28 @@
+/** Seeded random numbers; the engine's only source of randomness. */
+import * as PureRandom from 'pure-rand'
+
+const RESOLUTION = 0x7fffffff
+
+/** A deterministic generator. */
+export class Random {
+  private readonly generator: PureRandom.RandomGenerator
+
+  constructor (seed: number) {
+    this.generator = PureRandom.xoroshiro128plus(seed)
+  }
+
+  /** A number in [0, 1). */
+  fraction (): number {
+    return PureRandom.unsafeUniformIntDistribution(0, RESOLUTION - 1, this.generator) / RESOLUTION
+  }
+
+  /** A whole number in [0, limit). `limit` must be positive. */
+  below (limit: number): number {
+    return PureRandom.unsafeUniformIntDistribution(0, limit - 1, this.generator)
+  }
+
+  /** A random element, or undefined for an empty list. */
+  pick<Item> (items: readonly Item[]): Item | undefined {
+    return items.length === 0 ? undefined : items[this.below(items.length)]
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/core/refusal.ts
@@ -0,0 +1,49 @@
+/** Typed refusals. Each kind is a documented problem type in docs/callers.md. */
+
+/**
+ * What is known about a request that got no complete answer.
+ * `not-run` is certain: the request did not run and will not run.
+ */
+export type Outcome = 'not-run' | 'unknown'
+
+export type RefusalKind =
+  | 'service-unknown'
+  | 'no-target-available'
+  | 'overloaded'
+  | 'deadline-exceeded'
+  | 'target-unknown'
+  | 'target-leaving'
+  | 'target-ejected'
+  | 'node-leaving'
+  | 'request-blocked'
+  | 'key-malformed'
+  | 'key-content-mismatch'
+  | 'key-expired'
+  | 'key-owner-unreachable'
+  | 'key-owner-changed'
+  | 'key-owner-uncertain'
+  | 'body-too-large'
+  | 'request-malformed'
+  | 'upstream-unreachable'
+  | 'upstream-disconnected'
+  | 'upstream-timeout'
+  | 'caller-cancelled'
+
+export interface Refusal {
+  readonly kind: RefusalKind
+  readonly outcome: Outcome
+  /** One sentence for the caller's operator. */
+  readonly detail: string
+  /** When a repeat may succeed, in milliseconds. */
+  readonly retryAfter?: number
+}
+
+/** Builds a refusal of a request that certainly did not run. */
+export function notRun (kind: RefusalKind, detail: string, retryAfter?: number): Refusal {
+  return { kind, outcome: 'not-run', detail, ...(retryAfter === undefined ? {} : { retryAfter }) }
+}
+
+/** Builds a refusal of a request that may have run. */
+export function unknown (kind: RefusalKind, detail: string): Refusal {
+  return { kind, outcome: 'unknown', detail }
+}
--- /dev/null
+++ b/packages/decisions/src/journal/entries.ts
@@ -0,0 +1,33 @@
+/** Section `journal`: recent decisions with their evidence. Written by Journal through `Turn.record`. */
+import type * as Clock from '../core/clock.js'
+import type * as Ids from '../core/ids.js'
+
+export interface Entry {
+  readonly at: Clock.Milliseconds
+  /** Controller that decided. */
+  readonly controller: string
+  readonly decision: string
+  readonly evidence: string
+  readonly target?: Ids.TargetId
+  readonly service?: Ids.Service
+  readonly node?: Ids.NodeId
+}
+
+const ENTRIES_KEPT = 2_000
+
+export class Entries {
+  private readonly kept: Entry[] = []
+
+  add (entry: Entry): void {
+    this.kept.push(entry)
+    if (this.kept.length > ENTRIES_KEPT) this.kept.shift()
+  }
+
+  all (): readonly Entry[] {
+    return this.kept
+  }
+
+  about (target: Ids.TargetId): readonly Entry[] {
+    return this.kept.filter(entry => entry.target === target)
+  }
+}
--- /dev/null
+++ b/packages/measurements/src/index.ts
@@ -0,0 +1,2 @@
+/** Public interface of the measurements package. */
+export {}
--- /dev/null
+++ b/packages/node/src/index.ts
@@ -0,0 +1,2 @@
+/** Public interface of the node package. */
+export {}
--- /dev/null
+++ b/packages/scenarios/src/index.ts
@@ -0,0 +1,2 @@
+/** Public interface of the scenarios package. */
+export {}
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,2 @@
+/** Public interface of the stand-ins package. */
+export {}
