--- /dev/null
+++ b/packages/configuration/src/failure.ts
@@ -0,0 +1,31 @@
+/** Typed failures of settings. Every failure names where it is and what is allowed. */
+
+export type FailureKind =
+  | 'syntax'
+  | 'unknown-section'
+  | 'unknown-key'
+  | 'duplicate-key'
+  | 'duplicate-section'
+  | 'missing-key'
+  | 'invalid-value'
+  | 'conflicting-values'
+
+export interface Failure {
+  readonly kind: FailureKind
+  readonly file: string
+  /** Counted from 1; 0 when the failure concerns the whole file. */
+  readonly line: number
+  readonly section: string
+  readonly key: string
+  readonly value: string
+  /** What would be accepted. */
+  readonly allowed: string
+}
+
+/** One line for an operator. */
+export function describe (failure: Failure): string {
+  const place = `${failure.file}:${failure.line}`
+  const where = failure.key === '' ? `[${failure.section}]` : `[${failure.section}] ${failure.key}`
+  const value = failure.value === '' ? '' : ` = ${JSON.stringify(failure.value)}`
+  return `${place}: ${failure.kind}: ${where}${value}; allowed: ${failure.allowed}`
+}
--- /dev/null
+++ b/packages/configuration/src/fleet.ts
@@ -0,0 +1,106 @@
+/** Fleet configuration: `[defaults]` and any number of `[exception NAME]` sections. */
+import * as Decisions from '@jasminedale/decisions'
+import * as neverthrow from 'neverthrow'
+import * as Documents from './document.js'
+import type * as Failures from './failure.js'
+import * as PolicyKeys from './policy-keys.js'
+import * as SectionReaders from './section-reader.js'
+import * as Values from './value.js'
+
+/** The defaults and exceptions of a file, not yet numbered as a version. */
+export type Fleet = Pick<Decisions.Policies.Configuration, 'defaults' | 'exceptions'>
+
+const EXCEPTION_HEADING = /^exception ([a-z0-9][a-z0-9-]*)$/
+const SERVICE = Values.text<Decisions.Ids.Service>(/^[a-z0-9][a-z0-9-]{0,62}$/, 'a service name of lower-case letters, digits and hyphens')
+const PATH_PREFIX = Values.text<string>(/^\/\S*$/, 'a path that starts with /')
+const METHOD = Values.text<string>(/^[A-Z]{3,10}$/, 'an HTTP method in capitals, such as POST')
+const ACCOUNT = Values.text<Decisions.Ids.Account>(/^\S{1,128}$/, 'an account id without spaces')
+const REASON = Values.text<string>(/^.{10,400}$/, 'a sentence of 10 to 400 characters')
+const OWNER = Values.text<string>(/^.{1,200}$/, 'who answers for the exception')
+
+type Overrides = Partial<Decisions.Policies.Policy>
+
+function readPolicy (reader: SectionReaders.SectionReader): Overrides {
+  const found = [...PolicyKeys.POLICY_KEYS].flatMap(([key, { name, value }]) => {
+    const parsed = reader.optional(key, value)
+    return parsed === undefined ? [] : [[name, parsed] as const]
+  })
+  return Object.fromEntries(found)
+}
+
+/** Checks pairs of which `set` names at least one, so that an exception does not repeat a failure of the defaults. */
+function checkPairs (reader: SectionReaders.SectionReader, policy: Decisions.Policies.Policy, set: Overrides): void {
+  const setsAny = (...names: ReadonlyArray<keyof Decisions.Policies.Policy>): boolean => names.some(name => name in set)
+  if (setsAny('ejectionHold', 'ejectionHoldMaximum') && policy.ejectionHold > policy.ejectionHoldMaximum) {
+    reader.conflict('ejection-hold', `at most ejection-hold-maximum (${policy.ejectionHoldMaximum}ms)`)
+  }
+  if (setsAny('deadline', 'deadlineMaximum') && policy.deadline > policy.deadlineMaximum) {
+    reader.conflict('deadline', `at most deadline-maximum (${policy.deadlineMaximum}ms)`)
+  }
+}
+
+function readScope (reader: SectionReaders.SectionReader): Decisions.Policies.Scope {
+  const service = reader.optional('service', SERVICE)
+  const pathPrefix = reader.optional('path-prefix', PATH_PREFIX)
+  const method = reader.optional('method', METHOD)
+  const account = reader.optional('account', ACCOUNT)
+  return {
+    ...(service === undefined ? {} : { service }),
+    ...(pathPrefix === undefined ? {} : { pathPrefix }),
+    ...(method === undefined ? {} : { method }),
+    ...(account === undefined ? {} : { account })
+  }
+}
+
+function readException (name: string, reader: SectionReaders.SectionReader, defaults: Decisions.Policies.Policy): Decisions.Policies.Exception {
+  const reason = reader.required('reason', REASON) ?? ''
+  const owner = reader.optional('owner', OWNER)
+  const expires = reader.optional('expires', Values.day())
+  const scope = readScope(reader)
+  const overrides = readPolicy(reader)
+  reader.rejectOthers()
+  if (Object.keys(scope).length === 0) {
+    reader.conflict('service', 'at least one of service, path-prefix, method, account; what holds for all belongs in [defaults]')
+  }
+  if (Object.keys(overrides).length === 0) reader.conflict('reason', 'at least one setting that differs from the defaults')
+  checkPairs(reader, { ...defaults, ...overrides }, overrides)
+  return { name, reason, ...(owner === undefined ? {} : { owner }), ...(expires === undefined ? {} : { expires }), scope, overrides }
+}
+
+function readDefaults (document: Documents.Document, failures: Failures.Failure[]): Decisions.Policies.Policy {
+  const section = document.sections.find(candidate => candidate.name === 'defaults')
+  if (section === undefined) {
+    failures.push({ kind: 'missing-key', file: document.file, line: 0, section: 'defaults', key: '', value: '', allowed: 'one section [defaults]' })
+    return Decisions.DefaultPolicy.DEFAULT_POLICY
+  }
+  const reader = new SectionReaders.SectionReader(document, section, failures)
+  const set = readPolicy(reader)
+  const policy = { ...Decisions.DefaultPolicy.DEFAULT_POLICY, ...set }
+  reader.rejectOthers()
+  checkPairs(reader, policy, set)
+  return policy
+}
+
+/** Parses and checks a fleet configuration. Returns every failure found, in the order of the file. */
+export function parseFleet (text: string, file: string): neverthrow.Result<Fleet, readonly Failures.Failure[]> {
+  const document = Documents.read(text, file)
+  const failures = [...document.failures]
+  const defaults = readDefaults(document, failures)
+  const exceptions: Decisions.Policies.Exception[] = []
+  for (const section of document.sections) {
+    if (section.name === 'defaults') continue
+    const name = EXCEPTION_HEADING.exec(section.name)?.[1]
+    if (name === undefined) {
+      failures.push({ kind: 'unknown-section', file, line: section.line, section: section.name, key: '', value: '', allowed: '[defaults] or [exception NAME] with lower-case letters, digits and hyphens' })
+      continue
+    }
+    exceptions.push(readException(name, new SectionReaders.SectionReader(document, section, failures), defaults))
+  }
+  failures.sort((left, right) => left.line - right.line)
+  return failures.length === 0 ? neverthrow.ok({ defaults, exceptions }) : neverthrow.err(failures)
+}
+
+/** Parser of published records, in the form that the engine takes. */
+export function parseConfiguration (text: string, version: Decisions.Ids.Version, publication: string): neverthrow.Result<Decisions.Policies.Configuration, readonly Failures.Failure[]> {
+  return parseFleet(text, `version ${version}`).map(fleet => ({ version, publication, ...fleet }))
+}
