--- a/packages/scenarios/grammar/scenario.peggy
+++ b/packages/scenarios/grammar/scenario.peggy
@@ -9,6 +9,7 @@
 
 Statement
   = 'scenario' __ title:Text { return { kind: 'scenario', title } }
+  / 'use' __ fleet:('cinderfold' / 'ceara') { return { kind: 'use', fleet } }
   / 'seed' __ value:Integer { return { kind: 'seed', value } }
   / 'latency' __ 'data-centers' __ dataCenters:Duration __ 'regions' __ regions:Duration __ 'clients' __ clients:Duration { return { kind: 'latency', dataCenters, regions, clients } }
   / 'data-center' __ name:Name __ 'in' __ region:Name __ 'nodes' __ nodes:Integer { return { kind: 'data-center', name, region, nodes } }
--- a/packages/scenarios/src/script.ts
+++ b/packages/scenarios/src/script.ts
@@ -73,6 +73,8 @@
 
 export type Statement =
   | { readonly kind: 'scenario', readonly title: string }
+  /** Stands for the data centers and services of a user; the parser expands it. */
+  | { readonly kind: 'use', readonly fleet: 'cinderfold' | 'ceara' }
   | { readonly kind: 'seed', readonly value: number }
   | { readonly kind: 'end', readonly time: number }
   | DataCenterStatement | LatencyStatement | ServiceStatement | ConfigureStatement | CallerStatement | AtStatement | ExpectStatement
