--- /dev/null
+++ b/packages/configuration/tests/examples.test.ts
@@ -0,0 +1,14 @@
+import * as assert from 'node:assert/strict'
+import * as fs from 'node:fs'
+import { test } from 'node:test'
+import * as Configuration from '@jasminedale/configuration'
+
+const FOLDER = new URL('../../../examples/', import.meta.url)
+
+// Guards against examples that no longer match the accepted keys.
+test('the example configurations are valid', () => {
+  for (const file of ['cinderfold.ini', 'ceara.ini']) {
+    const result = Configuration.Fleets.parseFleet(fs.readFileSync(new URL(file, FOLDER), 'utf8'), file)
+    assert.deepEqual(result.isErr() ? result.error : [], [])
+  }
+})
