feat(command-line): add the program and the check command

Cause: operators need to check a configuration before they publish it. Ruled out: checking only on publication; a typing error would then need the log. Change: commander program, one module a subcommand, documented exit codes. Before: no command. Conclusion: further subcommands register themselves in program.ts.

--- /dev/null
+++ b/packages/command-line/src/main.ts
@@ -0,0 +1,5 @@
+#!/usr/bin/env node
+/** Executable entry. */
+import * as Program from './program.js'
+
+await Program.program().parseAsync(process.argv)
--- /dev/null
+++ b/packages/command-line/src/program.ts
@@ -0,0 +1,14 @@
+/** The command line: one module in commands/ for each subcommand. */
+import * as Commander from 'commander'
+import * as Check from './commands/check.js'
+import * as ExitCodes from './exit-code.js'
+
+/** Builds the program with all its subcommands. */
+export function program (): Commander.Command {
+  const root = new Commander.Command('jasminedale')
+    .description('Proxy fleet for backend servers with gray failures')
+    .showHelpAfterError()
+    .exitOverride(error => { process.exit(error.exitCode === 0 ? ExitCodes.EXIT_CODE.success : ExitCodes.EXIT_CODE.usage) })
+  Check.register(root)
+  return root
+}
