feat(membership): add gossip, the directory of targets and publication

Cause: nodes knew only their own targets and no configuration, so every request stayed on its entry node and nothing could be published. Ruled out: timed tombstones for removed targets (nodes that forget them at different times revive them; a host-numbered sequence with a watermark needs none); sending the whole table when digests differ (about 6 MB at 5,200 nodes); gossiping each member's configuration version (one update per member and publication). Core: events gossip-wanted and target-gone (internal), EngineOptions.parseConfiguration; the scenario runner passes the parser. Before: 4 scenarios red for want of members or versions. After: healthy-fleet, slow-afternoon, log-outage and lost-publication-reply pass; data-center-loss and lost-answers turn red, because work now reaches other nodes and the thin request path has neither retries nor a ledger. Conclusion: other controllers can use members, targets and policies.

--- a/packages/decisions/src/core/engine.ts
+++ b/packages/decisions/src/core/engine.ts
@@ -7,6 +7,7 @@
 import * as Directory from '../membership/directory.js'
 import * as Membership from '../membership/membership.js'
 import * as Ownership from '../ownership/ownership.js'
+import * as Parsers from '../publication/parser.js'
 import * as Publication from '../publication/publication.js'
 import * as Quarantine from '../quarantine/quarantine.js'
 import * as Routing from '../routing/routing.js'
@@ -22,14 +23,16 @@
   readonly identity: Identities.Identity
   /** Seed of every random choice. */
   readonly seed: number
+  /** Reads published texts; without it no publication is accepted. */
+  readonly parseConfiguration?: Parsers.ParseConfiguration
 }
 
 /** Order matters: sections that others read are updated first. */
-function controllers (): readonly Controllers.Controller[] {
+function controllers (parse: Parsers.ParseConfiguration): readonly Controllers.Controller[] {
   return [
     new Membership.Membership(),
     new Directory.Directory(),
-    new Publication.Publication(),
+    new Publication.Publication(parse),
     new Quarantine.Quarantine(),
     new Detection.Detection(),
     new Ejection.Ejection(),
@@ -42,11 +45,12 @@
 
 export class Engine {
   readonly board: Blackboards.Blackboard
-  private readonly controllers = controllers()
+  private readonly controllers: readonly Controllers.Controller[]
   private readonly random: Random.Random
   private identifiers = 0
 
   constructor (private readonly options: EngineOptions) {
+    this.controllers = controllers(options.parseConfiguration ?? Parsers.REJECT_ALL)
     this.board = new Blackboards.Blackboard(options.identity)
     this.random = new Random.Random(options.seed)
   }
--- a/packages/decisions/src/core/event.ts
+++ b/packages/decisions/src/core/event.ts
@@ -1,4 +1,5 @@
 /** Inputs of the engine. External events come from the daemon, internal ones from controllers. */
+import type * as MembershipMessages from '../membership/message.js'
 import type * as Clock from './clock.js'
 import type * as Ids from './ids.js'
 import type * as Messages from './message.js'
@@ -203,6 +204,15 @@
 /** Internal: a member joined, changed state or took a new incarnation. */
 export interface MemberChanged { readonly kind: 'member-changed', readonly node: Ids.NodeId }
 
+/** Internal: an update is to be spread to all nodes by gossip; a later one with the same key replaces it. */
+export interface GossipWanted {
+  readonly kind: 'gossip-wanted'
+  readonly key: string
+  readonly update: MembershipMessages.Update
+  /** Send a first copy within this step and not with the next tick. */
+  readonly urgent: boolean
+}
+
 /** Internal: a newer configuration is in force on this node. */
 export interface ConfigurationChanged {
   readonly kind: 'configuration-changed'
@@ -216,6 +226,6 @@
 
 export type InternalEvent =
   | RequestCleared | PlacementWanted | AdmissionWanted | AttemptRefused | PlacementFailed
-  | EjectionWanted | TargetCrashed | MemberChanged | ConfigurationChanged
+  | EjectionWanted | TargetCrashed | MemberChanged | ConfigurationChanged | GossipWanted | TargetGone
 
 export type Event = ExternalEvent | InternalEvent
--- a/packages/decisions/src/membership/targets.ts
+++ b/packages/decisions/src/membership/targets.ts
@@ -1,6 +1,7 @@
 /** Section `targets`: the backend servers this node knows. Written by Directory. */
 import type * as Clock from '../core/clock.js'
 import type * as Ids from '../core/ids.js'
+import * as Members from './members.js'
 
 export type TargetState = 'serving' | 'leaving'
 
@@ -18,7 +19,7 @@
   readonly state: TargetState
   /** First announcement of this incarnation, by this node's clock. */
   readonly announcedAt: Clock.Milliseconds
-  /** Load as the backend server last reported it. */
+  /** Load as the backend server last reported it; 0 for targets of other nodes, since load is not spread. */
   readonly load: number
 }
 
@@ -35,7 +36,30 @@
     return [...ids].flatMap(id => this.byId.get(id) ?? [])
   }
 
+  /**
+   * Targets that may be given work: serving, on a host that is a usable member and answers this node.
+   * When no host answers this node directly, those that answer others are returned.
+   */
+  selectable (service: Ids.Service, members: Members.Members): Target[] {
+    const usable = this.ofService(service).filter(target => {
+      const host = members.get(target.host)
+      return target.state === 'serving' && host !== undefined && Members.isUsable(host)
+    })
+    const answering = usable.filter(target => members.get(target.host)?.unansweredSince === undefined)
+    return answering.length > 0 ? answering : usable
+  }
+
+  /**
+   * Targets that count for the capacity floor: all that are not known to be leaving or to have left.
+   * Those of a dead host are included until the host is forgotten (1 h) or known to have left.
+   */
+  counted (service: Ids.Service): Target[] {
+    return this.ofService(service).filter(target => target.state === 'serving')
+  }
+
   put (target: Target): void {
+    const known = this.byId.get(target.target)
+    if (known !== undefined && known.service !== target.service) this.remove(target.target)
     this.byId.set(target.target, target)
     const ids = this.byService.get(target.service) ?? new Set<Ids.TargetId>()
     ids.add(target.target)
--- a/packages/decisions/src/publication/configurations.ts
+++ b/packages/decisions/src/publication/configurations.ts
@@ -1,10 +1,23 @@
 /** Section `configuration`: the configuration in force on this node. Written by Publication. */
-import type * as Clock from '../core/clock.js'
+import * as Clock from '../core/clock.js'
 import * as DefaultPolicy from '../core/default-policy.js'
+import * as Ids from '../core/ids.js'
 import * as Policies from '../core/policy.js'
 
 export class Configurations {
   current: Policies.Configuration = DefaultPolicy.INITIAL_CONFIGURATION
+  /** The published text of `current`. */
+  text = ''
+  /** When `current` came into force on this node. */
+  inForceSince: Clock.Milliseconds = Clock.milliseconds(0)
+  /** Highest version heard of from the log or any node. */
+  highestHeard: Ids.Version = Ids.version(0)
+  /** Since when a version higher than `current` is known to exist. */
+  behindSince: Clock.Milliseconds | undefined
+  /** Nodes of this data center that read the log. */
+  readers: readonly Ids.NodeId[] = []
+  /** Since when reads of the log fail; undefined when they succeed or when this node is not a reader. */
+  logUnavailableSince: Clock.Milliseconds | undefined
 
   /** Policy for a request or, with only a service, for a target. */
   policyFor (subject: Policies.Subject, now: Clock.Milliseconds): Policies.Policy {
--- a/packages/scenarios/src/fake-node.ts
+++ b/packages/scenarios/src/fake-node.ts
@@ -1,4 +1,5 @@
 /** Fake daemon: carries out the commands of a real engine against the other fakes. */
+import * as Configuration from '@jasminedale/configuration'
 import * as Decisions from '@jasminedale/decisions'
 import type * as Attempts from './attempt.js'
 import * as Deliveries from './delivery.js'
@@ -107,6 +108,7 @@
     return new Decisions.Engines.Engine({
       identity: this.around.identity(this.place, this.around.timeline.now()),
       seed: this.around.seed * 1_000 + this.around.fresh(),
+      parseConfiguration: Configuration.Fleets.parseConfiguration,
       ...this.around.engineOptions
     })
   }
