feat(core): tell controllers when a request is over

Cause: Quarantine, Ownership and Routing may each answer a request, but only the controller that answers knows of it. The others cannot remove their state, and Burn cannot count the request. Ruled out: one controller that emits all answers; the ledger would have to pass stored responses through it. Change: the engine raises `request-answered` for every `refuse` and `replay`; `request-ended` carries the end of a request with its targets and decisions; `attempt-withdrawn` takes back a local attempt that waits or runs. Conclusion: no controller needs to watch the commands of another.

--- a/packages/decisions/src/core/engine.ts
+++ b/packages/decisions/src/core/engine.ts
@@ -40,6 +40,15 @@
   ]
 }
 
+/** Every controller may answer a request; the event tells the others that it is over. */
+function answeredBy (command: Commands.Command): Events.RequestAnswered | undefined {
+  switch (command.kind) {
+    case 'refuse': return { kind: 'request-answered', request: command.request, answer: command.refusal }
+    case 'replay': return { kind: 'request-answered', request: command.request, answer: { kind: 'replayed', status: command.status } }
+    default: return undefined
+  }
+}
+
 export class Engine {
   readonly board: Blackboards.Blackboard
   private readonly controllers = controllers()
@@ -76,7 +85,11 @@
       board,
       now,
       random,
-      emit: command => { commands.push(command) },
+      emit: command => {
+        commands.push(command)
+        const answered = answeredBy(command)
+        if (answered !== undefined) pending.push(answered)
+      },
       raise: event => { pending.push(event) },
       record: (entry: Omit<Entries.Entry, 'at'>) => { board.journal.add({ at: now, ...entry }) },
       freshId: () => this.freshId()
--- a/packages/decisions/src/core/event.ts
+++ b/packages/decisions/src/core/event.ts
@@ -1,4 +1,5 @@
 /** Inputs of the engine. External events come from the daemon, internal ones from controllers. */
+import type * as Decisions from '../routing/decision.js'
 import type * as Clock from './clock.js'
 import type * as Ids from './ids.js'
 import type * as Messages from './message.js'
@@ -185,6 +186,43 @@
   readonly refusal: Refusals.Refusal
 }
 
+/** Internal: Routing takes back an attempt at a local target, whether it waits or runs. */
+export interface AttemptWithdrawn {
+  readonly kind: 'attempt-withdrawn'
+  readonly request: Ids.RequestId
+  readonly attempt: Ids.AttemptId
+}
+
+/** Internal: raised by the engine for every `refuse` and `replay`, whichever controller emitted it. */
+export interface RequestAnswered {
+  readonly kind: 'request-answered'
+  readonly request: Ids.RequestId
+  readonly answer: Refusals.Refusal | { readonly kind: 'replayed', readonly status: number }
+}
+
+/** How a request ended for its requester. */
+export type RequestEnd =
+  /** `intact` is false when the response was cut off. */
+  | { readonly kind: 'relayed', readonly status: number, readonly intact: boolean }
+  | { readonly kind: 'replayed', readonly status: number }
+  | { readonly kind: 'refused', readonly refusal: Refusals.Refusal }
+  | { readonly kind: 'cancelled' }
+
+/** Internal: the request is over and its record is gone. */
+export interface RequestEnded {
+  readonly kind: 'request-ended'
+  readonly request: Ids.RequestId
+  readonly hop: Hop
+  readonly service: Ids.Service
+  readonly policy: Policies.Policy
+  readonly elapsed: Clock.Milliseconds
+  readonly end: RequestEnd
+  /** Targets of the attempts, in order. */
+  readonly targets: readonly Ids.TargetId[]
+  /** Routing decisions that shaped the request, in order. */
+  readonly decisions: readonly Decisions.Decision[]
+}
+
 /** Internal: the evidence about a local target asks for ejection. */
 export interface EjectionWanted {
   readonly kind: 'ejection-wanted'
@@ -216,6 +254,6 @@
 
 export type InternalEvent =
   | RequestCleared | PlacementWanted | AdmissionWanted | AttemptRefused | PlacementFailed
-  | EjectionWanted | TargetCrashed | MemberChanged | ConfigurationChanged
+  | AttemptWithdrawn | RequestAnswered | RequestEnded | EjectionWanted | TargetCrashed | MemberChanged | ConfigurationChanged
 
 export type Event = ExternalEvent | InternalEvent
