fix(scenarios): resend through another node

Cause: the fake caller picks every node at random, so a resend may return to the node that just refused it. The design asks callers to use another node (section 8, entry node). With a drained node that refuses entry traffic, as its planned stop requires, `node-drain` then fails for 34 of 2,934 requests: both sends reached the same drained node. Ruled out: letting a drained node go on as an entry; it must stop taking work. Change: a resend excludes the node of the send before it. The expectations of all scenarios are unchanged. Conclusion: the scenario tests the fleet's promise and not the caller's luck.

--- a/packages/scenarios/src/fake-caller.ts
+++ b/packages/scenarios/src/fake-caller.ts
@@ -104,16 +104,19 @@
     this.send(order)
   }
 
-  private send (order: Order): void {
+  /** A resend uses another node than the send before it, as the design asks of callers. */
+  private send (order: Order, previous?: FakeNodes.FakeNode): void {
     order.sends += 1
-    const node = this.access.random.pick(this.access.nodesIn(this.statement.region))
+    const nodes = this.access.nodesIn(this.statement.region)
+    const others = nodes.filter(candidate => candidate !== previous)
+    const node = this.access.random.pick(others.length > 0 ? others : nodes)
     let open = true
     const settle = (answer: Omit<Answer, 'at' | 'executions'>): void => {
       if (!open) return
       open = false
       order.answers.push({ ...answer, at: this.access.timeline.elapsed(), executions: this.access.executionsOf(order.id) })
       if (answer.kind !== 'complete' && order.sends <= this.options.resends) {
-        this.access.timeline.after(this.options.pause, () => { this.send(order) })
+        this.access.timeline.after(this.options.pause, () => { this.send(order, node) })
       }
     }
     this.access.timeline.after(this.options.deadline + 2 * this.access.network.clientDelay(), () => { settle({ kind: 'none' }) })
