--- a/packages/decisions/src/admission/limits.ts
+++ b/packages/decisions/src/admission/limits.ts
@@ -10,4 +10,8 @@
 
 export class Limits {
   readonly byTarget = new Map<Ids.TargetId, TargetLimit>()
+  /** Attempts that were dispatched and have not ended; all others have certainly not run. */
+  readonly dispatched = new Map<Ids.AttemptId, Ids.TargetId>()
+  /** The whole node is shutting down and takes no new work from callers. */
+  nodeLeaving = false
 }
