feat(command-line): publish a configuration once, whatever happens to the replies

Cause: an append's reply can be lost after it took effect, and operators race. Ruled out: compare-and-append; the log has none. A random publication id; a repeated command could then not find its own record. Before: configurations could only be appended by hand.

--- a/packages/command-line/src/program.ts
+++ b/packages/command-line/src/program.ts
@@ -1,6 +1,7 @@
 /** The command line: one module in commands/ for each subcommand. */
 import * as Commander from 'commander'
 import * as Check from './commands/check.js'
+import * as Publish from './commands/publish.js'
 import * as ExitCodes from './exit-code.js'
 
 /** Builds the program with all its subcommands. */
@@ -10,5 +11,6 @@
     .showHelpAfterError()
     .exitOverride(error => { process.exit(error.exitCode === 0 ? ExitCodes.EXIT_CODE.success : ExitCodes.EXIT_CODE.usage) })
   Check.register(root)
+  Publish.register(root)
   return root
 }
