fix(decisions): import the hash library by its default export

The package is CommonJS: Node.js exposes no named exports of it, so the namespace had no `x86` and every hash failed at run time. Type checking passed because the declaration file says otherwise.

--- a/packages/decisions/src/core/rendezvous.ts
+++ b/packages/decisions/src/core/rendezvous.ts
@@ -1,5 +1,5 @@
 /** Rendezvous (highest random weight) hashing. */
-import * as Murmur from 'murmurhash3js-revisited'
+import Murmur from 'murmurhash3js-revisited'
 
 const encoder = new TextEncoder()
 
