--- /dev/null
+++ b/packages/decisions/tests/ownership/node.ts
@@ -0,0 +1,117 @@
+/** One node of the test fleet: a blackboard, the controllers under test and a stand-in for Routing. */
+import * as Blackboards from '../../src/core/blackboard.js'
+import type * as Clock from '../../src/core/clock.js'
+import type * as Commands from '../../src/core/command.js'
+import * as Controllers from '../../src/core/controller.js'
+import type * as Events from '../../src/core/event.js'
+import type * as Identities from '../../src/core/identity.js'
+import * as Ids from '../../src/core/ids.js'
+import * as Policies from '../../src/core/policy.js'
+import * as Random from '../../src/core/random.js'
+import * as Refusals from '../../src/core/refusal.js'
+import * as Ownership from '../../src/ownership/ownership.js'
+import type * as Parts from '../../src/ownership/parts.js'
+import * as Quarantine from '../../src/quarantine/quarantine.js'
+import type * as Requests from '../../src/routing/requests.js'
+
+const DEADLINE = 10_000
+export const TARGET = Ids.targetId('t')
+
+/** Opens requests, dispatches at once, and refuses a part of them before dispatch. */
+class Placement extends Controllers.Controller {
+  constructor (private readonly refusedShare: number) { super() }
+
+  react (event: Events.Event, turn: Controllers.Turn): void {
+    const { requests, keys } = turn.board
+    switch (event.kind) {
+      case 'request-arrived': open(event, turn); break
+      case 'placement-wanted': this.place(event.request, turn); break
+      case 'attempt-responded': {
+        const request = requests.get(event.request)
+        if (request === undefined) return
+        request.relayed = true
+        turn.emit({ kind: 'relay', request: event.request, attempt: event.attempt })
+        break
+      }
+      case 'attempt-finished': {
+        const request = requests.get(event.request)
+        if (request === undefined) return
+        if (request.relayed) requests.byId.delete(event.request)
+        else turn.raise({ kind: 'placement-failed', request: event.request, refusal: refusalOf(event.end) })
+        break
+      }
+      case 'placement-failed':
+        if (!keys.held.has(event.request)) turn.emit({ kind: 'refuse', request: event.request, refusal: event.refusal })
+        break
+      default: break
+    }
+  }
+
+  private place (id: Ids.RequestId, turn: Controllers.Turn): void {
+    if (turn.random.fraction() < this.refusedShare) {
+      turn.raise({ kind: 'placement-failed', request: id, refusal: Refusals.notRun('overloaded', 'Full.') })
+      return
+    }
+    const attempt = Ids.attemptId(turn.freshId())
+    turn.board.requests.get(id)?.attempts.push({ attempt, hop: 'dispatch', target: TARGET, node: turn.board.identity.node, startedAt: turn.now })
+    turn.emit({ kind: 'dispatch', request: id, attempt, target: TARGET, address: Ids.endpoint('127.0.0.1:9'), remaining: DEADLINE as Clock.Milliseconds })
+  }
+}
+
+function open (event: Events.RequestArrived, turn: Controllers.Turn): void {
+  const policy = turn.board.configuration.policyFor(event, turn.now)
+  turn.board.requests.byId.set(event.request, {
+    arrival: event,
+    policy,
+    idempotent: Policies.isIdempotent(policy, event.method),
+    arrivedAt: turn.now,
+    deadline: turn.now + DEADLINE,
+    firstAttempt: Ids.attemptId(turn.freshId()),
+    attempts: [],
+    relayed: false
+  } as unknown as Requests.Request)
+}
+
+function refusalOf (end: Events.AttemptEnd): Refusals.Refusal {
+  switch (end.kind) {
+    case 'refused': return end.refusal
+    case 'unreachable': return Refusals.notRun('upstream-unreachable', 'Not connected.')
+    default: return Refusals.unknown('upstream-disconnected', 'Lost.')
+  }
+}
+
+export interface NodeOptions { readonly rules?: Parts.Rules, readonly refusedShare?: number, readonly seed: number }
+
+export class Node {
+  readonly board: Blackboards.Blackboard
+  private readonly controllers: readonly Controllers.Controller[]
+  private readonly random: Random.Random
+  private identifiers = 0
+
+  constructor (readonly identity: Identities.Identity, options: NodeOptions) {
+    this.board = new Blackboards.Blackboard(identity)
+    this.random = new Random.Random(options.seed)
+    this.controllers = [new Quarantine.Quarantine(), new Ownership.Ownership(options.rules), new Placement(options.refusedShare ?? 0)]
+  }
+
+  step (now: number, event: Events.ExternalEvent): Commands.Command[] {
+    const commands: Commands.Command[] = []
+    const pending: Events.Event[] = [event]
+    const turn: Controllers.Turn = {
+      board: this.board,
+      now: now as Clock.Milliseconds,
+      random: this.random,
+      emit: command => {
+        commands.push(command)
+        if (command.kind === 'refuse' || command.kind === 'replay') this.board.requests.byId.delete(command.request)
+      },
+      raise: raised => { pending.push(raised) },
+      record: entry => { this.board.journal.add({ at: now as Clock.Milliseconds, ...entry }) },
+      freshId: () => `${this.identity.node}.${this.identity.incarnation}.${this.identifiers++}`
+    }
+    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
+      for (const controller of this.controllers) controller.react(next, turn)
+    }
+    return commands
+  }
+}
