fix(decisions): give the membership tests' fake log one stream

Cause: the fake log of the membership tests mixed all streams. Since Ownership reads and appends stream roster, its records pushed configuration records back and a version took more than 4 s in the test. Change: the fake answers other streams as unavailable; the idle test names the one message kind that this causes and still forbids every other.

--- a/packages/decisions/tests/fleet.ts
+++ b/packages/decisions/tests/fleet.ts
@@ -189,12 +189,13 @@
 
   private read (node: Node, { stream, from }: Decisions.Commands.ReadLog): void {
     const { generation } = node
-    this.log.reads += 1
+    if (stream === 'configuration') this.log.reads += 1
     this.after(LOG_DELAY, () => {
       if (node.generation !== generation) return
       const { log } = this
       while (log.records[0] !== undefined && this.now - log.records[0].appendedAt > log.retention) log.records.shift()
-      if (log.down) {
+      // The log of this fake has stream `configuration` only.
+      if (log.down || stream !== 'configuration') {
         this.step(node, { kind: 'log-unavailable', stream })
         return
       }
@@ -206,7 +207,8 @@
   }
 
   private appendFor (node: Node, { stream, token, body }: Decisions.Commands.AppendLog): void {
-    const { down, loseReplies } = this.log
+    const { loseReplies } = this.log
+    const down = this.log.down || stream !== 'configuration'
     if (!down) this.append(JSON.parse(body))
     const result = down ? 'failed' : loseReplies ? 'unknown' : 'appended'
     this.after(LOG_DELAY, () => { this.step(node, { kind: 'append-finished', stream, token, result }) })
--- a/packages/decisions/tests/membership/directory.test.ts
+++ b/packages/decisions/tests/membership/directory.test.ts
@@ -63,7 +63,8 @@
   fleet.run(60_000)
   fleet.sent.clear()
   fleet.run(70_000)
-  assert.deepEqual([...fleet.sent.keys()].sort(), ['ack', 'ping', 'sync-digest'])
+  // This fake has no roster stream, so Ownership goes on asking for rosters; every other kind stays forbidden.
+  assert.deepEqual([...fleet.sent.keys()].sort(), ['ack', 'ping', 'roster-request', 'sync-digest'])
 })
 
 // Guards against targets that survive their host's restart although they no longer announce themselves.
