feat(measurements): weigh placement and overload on virtual time

Cause: target selection, subset size and admission need figures, and the promises under overload need a proof. Change: a discrete-event model of servers and nodes around real engines; `placement` and `overload` as typed tables; docs/load.md; subset size 12; spill-over never moves more than evens out two data centers. Conclusion: ring subset of 12 with two choices is the default.

--- a/packages/decisions/src/routing/placement.ts
+++ b/packages/decisions/src/routing/placement.ts
@@ -27,7 +27,7 @@
 }
 
 /** Targets per entry, service and distance; the choice is weighed in docs/load.md. */
-const SUBSET_SIZE = 16
+const SUBSET_SIZE = 12
 /**
  * With fewer targets in the data center, one slow target would keep a large share of the work
  * until it is ejected; another data center of the region is only 1 to 1.5 ms away.
@@ -98,12 +98,17 @@
     return { target: option.target, crossesRegions: tier.crossesRegions, decisions }
   }
 
-  /** Moves a growing share of the work to a less loaded tier before the nearer one is full. */
+  /**
+   * Moves a growing share of the work to a less loaded tier before the nearer one is full. Never more
+   * than evens out the two, because reports are up to a second old and all entries follow the same ones.
+   */
   private spill (home: Tier, tiers: readonly Tier[], request: Requests.Request, turn: Controllers.Turn): Tier {
-    const share = (home.load - SPILL_START) / (SPILL_END - SPILL_START)
-    if (share <= 0 || turn.random.fraction() >= share) return home
-    const better = tiers.find(tier => tiers.indexOf(tier) > tiers.indexOf(home) && tier.load < home.load - SPILL_MARGIN)
+    const urgency = (home.load - SPILL_START) / (SPILL_END - SPILL_START)
+    if (urgency <= 0) return home
+    const better = tiers.find(entry => tiers.indexOf(entry) > tiers.indexOf(home) && entry.load < home.load - SPILL_MARGIN)
     if (better === undefined) return home
+    const even = (home.load - better.load) / (2 * home.load)
+    if (turn.random.fraction() >= Math.min(urgency, even)) return home
     return !better.crossesRegions || this.linkPermits(request, turn) ? better : home
   }
 
--- /dev/null
+++ b/packages/measurements/src/placement.ts
@@ -0,0 +1,202 @@
+/** Weighs ways to choose a target by latency, avoidance of slow targets, evenness and the number of targets used. */
+import * as Decisions from '@jasminedale/decisions'
+import * as Agendas from './simulation/agenda.js'
+import * as Distributions from './simulation/distribution.js'
+
+export interface PlacementOptions {
+  readonly seed: number
+  /** Nodes that choose; each sees only its own requests. */
+  readonly entries: number
+  readonly targets: number
+  readonly slots: number
+  /** Mean service time in ms. */
+  readonly serviceTime: number
+  /** Requested load as a fraction of the capacity of all healthy targets. */
+  readonly utilisation: number
+  /** Targets that become slower by `slowness` when the warm-up ends. */
+  readonly slowTargets: number
+  readonly slowness: number
+  /** Requests for each alternative. */
+  readonly requests: number
+  /** Targets per entry for the bounded alternatives. */
+  readonly subsetSize: number
+}
+
+export interface PlacementRow {
+  readonly alternative: string
+  /** Targets that one entry uses, at most. */
+  readonly candidates: number
+  /** Median, 99th and 99.9th percentile of the time at the target, waiting included, in ms. */
+  readonly latency50: number
+  readonly latency99: number
+  readonly latency999: number
+  /** Share of the work that slow targets got, relative to an even share. */
+  readonly slowShare: number
+  /** Time from the onset until a slow target has finished the requests that detection needs, in ms; the mean of the slow targets. */
+  readonly evidenceTime: number
+  /** Work of the busiest healthy target relative to the mean of the healthy targets. */
+  readonly busiest: number
+  /** Entries that use the most used target relative to the mean. */
+  readonly mostUsed: number
+}
+
+export interface PlacementTable {
+  readonly options: PlacementOptions
+  readonly rows: readonly PlacementRow[]
+}
+
+interface Alternative {
+  readonly name: string
+  readonly selection: Decisions.Selections.Selection
+  readonly subset: Decisions.Subsets.Subset
+}
+
+/** Deviation of the logarithm of the service time. */
+const DEVIATION = 0.4
+/** Requests before the measurement, as a fraction; the estimates settle meanwhile. */
+const WARM_UP = 0.2
+/** Responses after which the evidence about a target that is slow three-fold reaches 14 nats: about 3 nats each. */
+const EVIDENCE_RESPONSES = 5
+
+function alternatives (size: number): readonly Alternative[] {
+  const whole = new Decisions.Subsets.WholeSet()
+  const twoChoices = new Decisions.Selections.TwoChoices()
+  return [
+    { name: 'random', selection: new Decisions.Selections.RandomChoice(), subset: whole },
+    { name: 'least of all known', selection: new Decisions.Selections.LeastKnown(), subset: whole },
+    { name: 'two choices', selection: twoChoices, subset: whole },
+    { name: 'rendezvous subset, least known', selection: new Decisions.Selections.LeastKnown(), subset: new Decisions.Subsets.RendezvousSubset(size) },
+    { name: 'rendezvous subset, two choices', selection: twoChoices, subset: new Decisions.Subsets.RendezvousSubset(size) },
+    { name: 'ring subset, least known', selection: new Decisions.Selections.LeastKnown(), subset: new Decisions.Subsets.RingSubset(size) },
+    { name: 'ring subset, two choices', selection: twoChoices, subset: new Decisions.Subsets.RingSubset(size) }
+  ]
+}
+
+/** One row per alternative, all under the same load and seed. */
+export function placement (options: PlacementOptions): PlacementTable {
+  return { options, rows: alternatives(options.subsetSize).map(alternative => new Trial(alternative, options).run()) }
+}
+
+interface Target {
+  readonly id: Decisions.Ids.TargetId
+  readonly slowness: number
+  running: number
+  work: number
+  finished: number
+  evidenceAt: number
+  readonly waiting: (() => void)[]
+}
+
+interface Entry {
+  readonly estimates: Decisions.Estimates.Estimates
+  readonly targets: readonly Target[]
+}
+
+class Trial {
+  private readonly agenda = new Agendas.Agenda()
+  private readonly distribution: Distributions.Distribution
+  private readonly random: Decisions.Random.Random
+  private readonly targets: readonly Target[]
+  private readonly entries: readonly Entry[]
+  private readonly latencies: number[] = []
+  private sent = 0
+  private onset = Infinity
+
+  constructor (private readonly alternative: Alternative, private readonly options: PlacementOptions) {
+    this.distribution = new Distributions.Distribution(options.seed)
+    this.random = new Decisions.Random.Random(options.seed)
+    this.targets = Array.from({ length: options.targets }, (_, index) => ({
+      id: Decisions.Ids.targetId(`t${index}`), slowness: index < options.slowTargets ? options.slowness : 1, running: 0, work: 0, finished: 0, evidenceAt: Infinity, waiting: []
+    }))
+    this.entries = Array.from({ length: options.entries }, (_, index) => this.entry(index))
+  }
+
+  run (): PlacementRow {
+    this.arrive()
+    this.agenda.runUntil(Infinity)
+    const { options, targets, entries } = this
+    const healthy = targets.filter(target => target.slowness === 1).map(target => target.work)
+    const slowTargets = targets.filter(target => target.slowness !== 1)
+    const slow = slowTargets.map(target => target.work)
+    const total = sum(healthy) + sum(slow)
+    const uses = targets.map(target => entries.filter(entry => entry.targets.includes(target)).length)
+    const sorted = this.latencies.sort((left, right) => left - right)
+    const percentile = (fraction: number): number => sorted[Math.floor(sorted.length * fraction)] ?? 0
+    return {
+      alternative: this.alternative.name,
+      candidates: Math.max(...entries.map(entry => entry.targets.length)),
+      latency50: percentile(0.5),
+      latency99: percentile(0.99),
+      latency999: percentile(0.999),
+      slowShare: slow.length === 0 ? 0 : sum(slow) / total * options.targets / slow.length,
+      evidenceTime: mean(slowTargets.map(target => target.evidenceAt - this.onset)),
+      busiest: Math.max(...healthy) / mean(healthy),
+      mostUsed: Math.max(...uses) / mean(uses)
+    }
+  }
+
+  private entry (index: number): Entry {
+    const place = { entry: Decisions.Ids.nodeId(`n${index}`), index, entries: this.options.entries }
+    const ids = this.alternative.subset.of(Decisions.Ids.service('measured'), this.targets.map(target => target.id), place)
+    const used = new Set(ids)
+    return { estimates: new Decisions.Estimates.Estimates(), targets: this.targets.filter(target => used.has(target.id)) }
+  }
+
+  private arrive (): void {
+    const { options, distribution } = this
+    if (this.sent >= options.requests) return
+    this.sent += 1
+    const entry = this.entries[distribution.below(this.entries.length)]
+    const measured = this.sent > options.requests * WARM_UP
+    if (measured) this.onset = Math.min(this.onset, this.agenda.now)
+    if (entry !== undefined) this.send(entry, measured)
+    const healthy = options.targets - options.slowTargets + options.slowTargets / options.slowness
+    this.agenda.after(distribution.exponential(options.serviceTime / (healthy * options.slots * options.utilisation)), () => { this.arrive() })
+  }
+
+  private send (entry: Entry, measured: boolean): void {
+    const chosen = this.alternative.selection.choose(this.candidates(entry), this.random)
+    if (chosen === undefined) return
+    const { target } = chosen
+    const sentAt = this.agenda.now
+    entry.estimates.started(target.id, Decisions.Clock.milliseconds(sentAt))
+    if (measured) target.work += 1
+    const finished = (): void => {
+      const latency = this.agenda.now - sentAt
+      entry.estimates.ended(target.id)
+      entry.estimates.responded(target.id, Decisions.Clock.milliseconds(latency), Decisions.Clock.milliseconds(this.agenda.now))
+      if (measured) this.latencies.push(latency)
+    }
+    const begin = (): void => { this.begin(target, measured, finished) }
+    if (target.running < this.options.slots) begin()
+    else target.waiting.push(begin)
+  }
+
+  private begin (target: Target, measured: boolean, finished: () => void): void {
+    target.running += 1
+    const slowness = measured ? target.slowness : 1
+    this.agenda.after(this.distribution.logNormal(this.options.serviceTime, DEVIATION) * slowness, () => {
+      target.running -= 1
+      if (measured) target.finished += 1
+      if (target.finished === EVIDENCE_RESPONSES && measured) target.evidenceAt = Math.min(target.evidenceAt, this.agenda.now)
+      finished()
+      target.waiting.shift()?.()
+    })
+  }
+
+  private candidates (entry: Entry): readonly { readonly target: Target, readonly cost: number }[] {
+    const now = Decisions.Clock.milliseconds(this.agenda.now)
+    return entry.targets.map(target => ({
+      target,
+      cost: (entry.estimates.inFlight(target.id) + 1) * (entry.estimates.latency(target.id, now, this.options.serviceTime) ?? this.options.serviceTime)
+    }))
+  }
+}
+
+function sum (values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0)
+}
+
+function mean (values: readonly number[]): number {
+  return sum(values) / Math.max(1, values.length)
+}
--- /dev/null
+++ b/packages/measurements/src/simulation/fleet.ts
@@ -0,0 +1,113 @@
+/** Real engines on virtual time against model servers, with a membership that is always right. */
+import * as Decisions from '@jasminedale/decisions'
+import * as Agendas from './agenda.js'
+import * as Distributions from './distribution.js'
+import * as Nodes from './node.js'
+import * as Servers from './server.js'
+
+export interface FleetOptions {
+  readonly seed: number
+  /** Data centers of each region. */
+  readonly regions: Readonly<Record<string, readonly string[]>>
+  readonly nodesPerDataCenter: number
+  readonly targetsPerNode: number
+  readonly server: Servers.ServerOptions
+  readonly policy?: Partial<Decisions.Policies.Policy>
+  readonly exceptions?: readonly Decisions.Policies.Exception[]
+}
+
+export const SERVICE = Decisions.Ids.service('accounts')
+const TICK_MS = 100
+const ANNOUNCE_MS = 1_000
+const LATENCY_MS = { dataCenter: 0.2, region: 1, far: 8 } as const
+
+export class Fleet {
+  readonly agenda = new Agendas.Agenda()
+  readonly distribution: Distributions.Distribution
+  readonly nodes: Nodes.Node[] = []
+  readonly servers = new Map<string, Servers.Server>()
+  /** Regions that are cut off from all others. */
+  readonly cutRegions = new Set<string>()
+  private readonly hosts = new Map<string, Nodes.Node>()
+
+  constructor (readonly options: FleetOptions) {
+    this.distribution = new Distributions.Distribution(options.seed)
+    for (const [region, dataCenters] of Object.entries(options.regions)) {
+      for (const dataCenter of dataCenters) this.addDataCenter(region, dataCenter)
+    }
+    this.agenda.after(0, () => { this.announce() })
+    this.agenda.after(TICK_MS, () => { this.tick() })
+    this.agenda.runUntil(2 * ANNOUNCE_MS)
+  }
+
+  /** Hosts by target name. */
+  host (target: string): Nodes.Node {
+    const node = this.hosts.get(target)
+    if (node === undefined) throw new RangeError(`No target ${target} in the fleet.`)
+    return node
+  }
+
+  connected (left: Nodes.Node, right: Nodes.Node): boolean {
+    if (left.region === right.region) return true
+    return !this.cutRegions.has(left.region) && !this.cutRegions.has(right.region)
+  }
+
+  /** One-way latency in ms. */
+  latency (left: Nodes.Node, right: Nodes.Node): number {
+    if (left.dataCenter === right.dataCenter) return LATENCY_MS.dataCenter
+    return left.region === right.region ? LATENCY_MS.region : LATENCY_MS.far
+  }
+
+  node (name: string): Nodes.Node | undefined {
+    return this.nodes.find(node => node.name === name)
+  }
+
+  /** Requests per second that all servers finish together when nothing is lost. */
+  capacity (): number {
+    const { slots, serviceTime } = this.options.server
+    return this.servers.size * slots / serviceTime * 1_000
+  }
+
+  /** Starts of requests at all servers. */
+  starts (): number {
+    return [...this.servers.values()].reduce((sum, server) => sum + server.startedCount, 0)
+  }
+
+  startsOf (id: string): number {
+    return [...this.servers.values()].reduce((sum, server) => sum + (server.started.get(id) ?? 0), 0)
+  }
+
+  private addDataCenter (region: string, dataCenter: string): void {
+    for (let index = 1; index <= this.options.nodesPerDataCenter; index++) {
+      const node = new Nodes.Node(`${dataCenter}-${index}`, dataCenter, region, this.options.seed + this.nodes.length, this)
+      node.configure(this.options.policy ?? {}, this.options.exceptions ?? [])
+      this.nodes.push(node)
+      for (let target = 1; target <= this.options.targetsPerNode; target++) {
+        const name = `${node.name}-t${target}`
+        this.servers.set(name, new Servers.Server(name, this.options.server, this.agenda, this.distribution))
+        this.hosts.set(name, node)
+      }
+    }
+  }
+
+  /** Every server announces itself to its host, and every node learns of every reachable member and target. */
+  private announce (): void {
+    for (const [name, server] of this.servers) if (server.up) this.host(name).announce(name, server)
+    this.spread()
+    this.agenda.after(ANNOUNCE_MS, () => { this.announce() })
+  }
+
+  private spread (): void {
+    for (const viewer of this.nodes) {
+      for (const peer of this.nodes) {
+        viewer.learn(peer, peer === viewer || this.connected(viewer, peer) ? 'alive' : 'dead')
+        if (peer !== viewer && this.connected(viewer, peer)) viewer.learnTargets(peer)
+      }
+    }
+  }
+
+  private tick (): void {
+    for (const node of this.nodes) node.step([{ kind: 'tick' }])
+    this.agenda.after(TICK_MS, () => { this.tick() })
+  }
+}
--- /dev/null
+++ b/packages/measurements/src/simulation/node.ts
@@ -0,0 +1,126 @@
+/** A model daemon: carries out the commands of a real engine. */
+import * as Decisions from '@jasminedale/decisions'
+import * as Attempts from './attempt.js'
+import type * as Fleets from './fleet.js'
+import type * as Servers from './server.js'
+
+/** Where the answer to a request goes. */
+export interface Requester {
+  head (status: number, serviceTime: number): void
+  end (intact: boolean): void
+  refuse (refusal: Decisions.Refusals.Refusal): void
+}
+
+/** A request on its way through the fleet. */
+export interface Submission {
+  readonly id: string
+  readonly arrival: Omit<Decisions.Events.RequestArrived, 'kind' | 'request'>
+}
+
+interface Inbound { readonly submission: Submission, readonly requester: Requester }
+
+export class Node {
+  readonly engine: Decisions.Engines.Engine
+  readonly attempts = new Map<Decisions.Ids.AttemptId, Attempts.Attempt>()
+  readonly drained: Decisions.Commands.Drained[] = []
+  private readonly inbound = new Map<Decisions.Ids.RequestId, Inbound>()
+  private received = 0
+
+  constructor (
+    readonly name: string, readonly dataCenter: string, readonly region: string, seed: number, readonly fleet: Fleets.Fleet
+  ) {
+    this.engine = new Decisions.Engines.Engine({ identity: this.identity(), seed })
+  }
+
+  step (events: readonly Decisions.Events.ExternalEvent[]): void {
+    const now = Decisions.Clock.milliseconds(this.fleet.agenda.now)
+    for (const command of this.engine.step(now, events)) this.carryOut(command)
+  }
+
+  receive (submission: Submission, requester: Requester): Decisions.Ids.RequestId {
+    this.received += 1
+    const request = Decisions.Ids.requestId(`${this.name}/${this.received}`)
+    this.inbound.set(request, { submission, requester })
+    this.step([{ kind: 'request-arrived', request, ...submission.arrival }])
+    return request
+  }
+
+  submission (request: Decisions.Ids.RequestId): Submission | undefined {
+    return this.inbound.get(request)?.submission
+  }
+
+  configure (policy: Partial<Decisions.Policies.Policy>, exceptions: readonly Decisions.Policies.Exception[]): void {
+    const { configuration } = this.engine.board
+    configuration.current = { ...configuration.current, defaults: { ...configuration.current.defaults, ...policy }, exceptions }
+  }
+
+  announce (name: string, server: Servers.Server): void {
+    this.step([{
+      kind: 'target-announced',
+      target: Decisions.Ids.targetId(name),
+      service: Decisions.Ids.service('accounts'),
+      address: Decisions.Ids.endpoint(`server:${name}`),
+      slots: server.options.slots,
+      incarnation: Decisions.Ids.incarnation(1),
+      load: Math.min(1, server.load)
+    }])
+  }
+
+  /** Stands in for gossip about a member. */
+  learn (peer: Node, state: 'alive' | 'dead'): void {
+    const { members, identity } = this.engine.board
+    const { node, address, dataCenter, region, incarnation } = peer.engine.board.identity
+    if (node === identity.node || members.get(node)?.state === state) return
+    const now = Decisions.Clock.milliseconds(this.fleet.agenda.now)
+    members.byNode.set(node, { node, address, dataCenter, region, incarnation, state, stateSince: now, configuration: Decisions.Ids.version(0) })
+  }
+
+  /** Stands in for gossip about the targets of a member. */
+  learnTargets (peer: Node): void {
+    const { targets } = this.engine.board
+    const current = [...peer.engine.board.targets.byId.values()].filter(target => target.host === peer.engine.board.identity.node)
+    const names = new Set(current.map(target => target.target))
+    for (const target of [...targets.byId.values()]) {
+      if (target.host === peer.engine.board.identity.node && !names.has(target.target)) targets.remove(target.target)
+    }
+    for (const target of current) {
+      const remote: { -readonly [Field in keyof typeof target]: (typeof target)[Field] } = { ...target }
+      delete remote.address
+      targets.put(remote)
+    }
+  }
+
+  private identity (): Decisions.Identities.Identity {
+    return {
+      node: Decisions.Ids.nodeId(this.name),
+      address: Decisions.Ids.endpoint(this.name),
+      dataCenter: Decisions.Ids.dataCenter(this.dataCenter),
+      region: Decisions.Ids.region(this.region),
+      incarnation: Decisions.Ids.incarnation(1),
+      seeds: []
+    }
+  }
+
+  private carryOut (command: Decisions.Commands.Command): void {
+    switch (command.kind) {
+      case 'dispatch': Attempts.dispatch(this, command); break
+      case 'forward': Attempts.forward(this, command); break
+      case 'relay': this.relay(command); break
+      case 'refuse': this.close(command.request)?.requester.refuse(command.refusal); break
+      case 'cancel': this.attempts.get(command.attempt)?.cancel(); break
+      case 'drained': this.drained.push(command); break
+      default: break
+    }
+  }
+
+  private relay (command: Decisions.Commands.Relay): void {
+    const inbound = this.close(command.request)
+    if (inbound !== undefined) this.attempts.get(command.attempt)?.relayTo(inbound.requester)
+  }
+
+  private close (request: Decisions.Ids.RequestId): Inbound | undefined {
+    const inbound = this.inbound.get(request)
+    this.inbound.delete(request)
+    return inbound
+  }
+}
