fix(routing): stop retrying a request after two lost connections

Ruled out: waiting for the reports before each retry; that delays every retry after a lost connection by the spread of gossip. Change: a request that lost two connections gets no further attempt. Conclusion: the bound of two crashes no longer depends on the speed of gossip.

--- a/packages/decisions/src/routing/decision.ts
+++ b/packages/decisions/src/routing/decision.ts
@@ -8,6 +8,8 @@
   | 'tried-avoided-target'
   | 'retried'
   | 'retry-budget-spent'
+  /** Two connections were lost; the request may crash backend servers. */
+  | 'connections-lost'
   | 'attempts-spent'
   | 'link-budget-spent'
   | 'deadline-passed'
--- a/packages/decisions/src/routing/record.ts
+++ b/packages/decisions/src/routing/record.ts
@@ -20,6 +20,7 @@
     closed: new Set(),
     decisions: [],
     mayHaveRun: false,
+    connectionsLost: 0,
     relayed: false,
     relayedStatus: 0,
     expired: false
--- a/packages/decisions/src/routing/requests.ts
+++ b/packages/decisions/src/routing/requests.ts
@@ -37,6 +37,8 @@
   readonly decisions: Decisions.Decision[]
   /** Some attempt may have run, so that a refusal cannot say `not-run`. */
   mayHaveRun: boolean
+  /** Attempts whose backend server's connection was lost, as when it crashes. */
+  connectionsLost: number
   /** A response is being streamed to the requester; no further attempt is possible. */
   relayed: boolean
   /** Status of the response that is being streamed. */
--- a/packages/decisions/src/routing/retry.ts
+++ b/packages/decisions/src/routing/retry.ts
@@ -7,6 +7,12 @@
 /** Statuses that another target may answer better. */
 const RETRYABLE_STATUSES: ReadonlySet<number> = new Set([500, 502, 503, 504])
 
+/**
+ * A request that crashes backend servers shows itself by lost connections. The second crash is as many as the
+ * fleet may suffer for one request, and a third attempt could start before the news of both has arrived here.
+ */
+const CONNECTIONS_LOST_MAXIMUM = 2
+
 export function isFailure (event: Events.AttemptResponded): boolean {
   return event.shed || RETRYABLE_STATUSES.has(event.status)
 }
@@ -29,6 +35,10 @@
 ): Placements.Placement | undefined {
   const { arrival, policy } = request
   if (!arrival.replayable || turn.now >= request.deadline) return undefined
+  if (request.connectionsLost >= CONNECTIONS_LOST_MAXIMUM) {
+    request.decisions.push('connections-lost')
+    return undefined
+  }
   if (arrival.earlierAttempts + request.attempts.length >= policy.attempts) {
     request.decisions.push('attempts-spent')
     return undefined
--- a/packages/decisions/src/routing/routing.ts
+++ b/packages/decisions/src/routing/routing.ts
@@ -101,6 +101,7 @@
     }
     const refusal = Outcomes.refusalFor(end, request, attempt.hop)
     if (refusal.outcome !== 'not-run') request.mayHaveRun = true
+    if (refusal.kind === 'upstream-disconnected') request.connectionsLost += 1
     const placement = Retries.mayRepeat(request, attempt) ? Retries.next(request, Outcomes.isNews(end, attempt), this.placer, turn) : undefined
     if (placement === undefined) fail(request, refusal, turn)
     else Attempts.start(request, placement, turn)
