perf(membership): keep one copy of each target

Cause: a node that knew 5,200 hosts and 78,000 targets held every target twice, as section entry and as last received change, and a service name for each. Change: host records keep sequence numbers only; lists for synchronization are built from the section; service names are shared.

--- a/packages/decisions/src/membership/directory.ts
+++ b/packages/decisions/src/membership/directory.ts
@@ -15,6 +15,8 @@
 /** Records of hosts that do not become members are dropped after this time. */
 const UNKNOWN_HOST_RETENTION = Clock.minutes(1)
 const SWEEP_PERIOD = Clock.seconds(1)
+/** Names kept for sharing; several times the 1,700 services expected. */
+const SERVICES_LIMIT = 10_000
 /** Place of a target whose host's member entry has not arrived yet; such a target is not selectable. */
 const UNKNOWN_PLACE = { dataCenter: Ids.dataCenter('unknown'), region: Ids.region('unknown') }
 
@@ -26,6 +28,7 @@
   /** Targets of earlier incarnations of a host, dropped at the given time. */
   private readonly inherited = new Map<Ids.NodeId, { readonly targets: Set<Ids.TargetId>, readonly until: Clock.Milliseconds }>()
   private readonly unknownHosts = new Map<Ids.NodeId, Clock.Milliseconds>()
+  private readonly services = new Map<Ids.Service, Ids.Service>()
   private sweepAt = Clock.milliseconds(0)
 
   react (event: Events.Event, turn: Controllers.Turn): void {
@@ -73,9 +76,10 @@
     if (host === turn.board.identity.node || outdated) return false
     const record = this.recordFor(host, incarnation, turn)
     if (record === undefined) return false
-    const news = complete === undefined ? record.apply(targets) : record.replace(complete, targets)
+    const { news, gone } = complete === undefined ? { news: record.apply(targets), gone: [] } : record.replace(complete, targets)
+    for (const target of gone) removeFrom(host, target, turn)
     for (const change of news) this.put(host, change, turn)
-    this.index(host, turn)
+    if (news.length > 0 || gone.length > 0) this.index(host, turn)
     return news.length > 0
   }
 
@@ -86,7 +90,7 @@
     const record = new HostRecords.HostRecord(incarnation)
     this.table.records.set(host, record)
     if (known === undefined) return record
-    const targets = new Set([...known.changes.keys(), ...this.inherited.get(host)?.targets ?? []])
+    const targets = new Set([...known.sequences.keys(), ...this.inherited.get(host)?.targets ?? []])
     this.inherited.set(host, { targets, until: Clock.add(turn.now, RESTART_GRACE) })
     return record
   }
@@ -105,7 +109,16 @@
     const same = known?.incarnation === incarnation && known.host === host
     const announcedAt = same ? known.announcedAt : Clock.milliseconds(turn.now - age)
     const place = { dataCenter: member?.dataCenter ?? UNKNOWN_PLACE.dataCenter, region: member?.region ?? UNKNOWN_PLACE.region }
-    targets.put({ target, service, host, ...place, slots, incarnation, state, announcedAt, load: 0 })
+    targets.put({ target, service: this.interned(service), host, ...place, slots, incarnation, state, announcedAt, load: 0 })
+  }
+
+  /** One copy of each name; every received message has its own. */
+  private interned (service: Ids.Service): Ids.Service {
+    const known = this.services.get(service)
+    if (known !== undefined) return known
+    if (this.services.size >= SERVICES_LIMIT) this.services.clear()
+    this.services.set(service, service)
+    return service
   }
 
   /** Follows the state of a host: a member that left takes its targets along, a dead one keeps them for the floor. */
@@ -117,7 +130,7 @@
       this.forget(host, turn)
       return
     }
-    for (const target of record?.changes.keys() ?? []) {
+    for (const target of record?.sequences.keys() ?? []) {
       const known = turn.board.targets.get(target)
       const { dataCenter, region } = member
       if (known?.host === host && known.dataCenter !== dataCenter) turn.board.targets.put({ ...known, dataCenter, region })
@@ -127,7 +140,7 @@
   }
 
   private forget (host: Ids.NodeId, turn: Controllers.Turn): void {
-    const targets = [...this.table.records.get(host)?.changes.keys() ?? [], ...this.inherited.get(host)?.targets ?? []]
+    const targets = [...this.table.records.get(host)?.sequences.keys() ?? [], ...this.inherited.get(host)?.targets ?? []]
     for (const target of targets) removeFrom(host, target, turn)
     this.table.records.delete(host)
     this.inherited.delete(host)
--- a/packages/decisions/src/membership/host-table.ts
+++ b/packages/decisions/src/membership/host-table.ts
@@ -5,10 +5,10 @@
 import * as HostRecords from './host-record.js'
 import type * as Messages from './message.js'
 import * as Synchronizations from './synchronization.js'
+import type * as Targets from './targets.js'
 
 /** A host has 15 targets of about 70 bytes on average. */
 const ENTRIES_LIMIT = 100
-const AGE_FIELD = 6
 
 export class HostTable extends Synchronizations.Replica {
   readonly table = 'targets'
@@ -27,7 +27,11 @@
   entry (key: Ids.NodeId, turn: Controllers.Turn): Messages.TargetsUpdate | undefined {
     const record = this.records.get(key)
     if (record === undefined) return undefined
-    const targets = [...record.changes.values()].map(change => aged(change, key, turn))
+    const present = [...record.sequences].flatMap(([target, sequence]) => {
+      const known = turn.board.targets.get(target)
+      return known?.host === key ? [changeFor(known, sequence, turn)] : []
+    })
+    const targets = [...present, ...record.removals.values()]
     return { kind: 'targets', host: key, incarnation: record.incarnation, complete: record.watermark, targets }
   }
 
@@ -36,10 +40,7 @@
   }
 }
 
-/** Replaces the age that was received by the current one. */
-function aged (change: Messages.TargetChange, host: Ids.NodeId, turn: Controllers.Turn): Messages.TargetChange {
-  const known = turn.board.targets.get(change[1])
-  const copy: Messages.TargetChange = [...change]
-  if (known?.host === host) copy[AGE_FIELD] = Math.max(0, turn.now - known.announcedAt)
-  return copy
+function changeFor (target: Targets.Target, sequence: number, turn: Controllers.Turn): Messages.TargetChange {
+  const age = Math.max(0, turn.now - target.announcedAt)
+  return [sequence, target.target, target.service, target.slots, target.incarnation, target.state, age]
 }
--- a/packages/decisions/tests/membership/directory.test.ts
+++ b/packages/decisions/tests/membership/directory.test.ts
@@ -85,11 +85,14 @@
   const history = FastCheck.array(FastCheck.record({ target: FastCheck.integer({ min: 0, max: 4 }), state: FastCheck.constantFrom(...states) }), { minLength: 1, maxLength: 20 })
   FastCheck.assert(FastCheck.property(history, FastCheck.infiniteStream(FastCheck.nat()), (steps, choices: Iterator<number, unknown>) => {
     const source = new HostRecords.HostRecord(Decisions.Ids.incarnation(1))
+    const model = new Map<Decisions.Ids.TargetId, Messages.TargetChange>()
     const messages: { readonly complete?: number, readonly changes: Messages.TargetChange[] }[] = []
     steps.forEach((step, index) => {
       const change: Messages.TargetChange = [index + 1, target(`t${step.target}`), service, 1, Decisions.Ids.incarnation(1), step.state, 0]
       source.apply([change])
-      messages.push({ changes: [change] }, { complete: source.watermark, changes: [...source.changes.values()] })
+      if (step.state === 'gone') model.delete(change[1])
+      else model.set(change[1], change)
+      messages.push({ changes: [change] }, { complete: index + 1, changes: [...model.values()] })
     })
     const copy = new HostRecords.HostRecord(Decisions.Ids.incarnation(1))
     const view = new Map<string, string>()
@@ -97,13 +100,14 @@
     const shuffled = messages.map(message => ({ message, rank: Number(choices.next().value) })).sort((left, right) => left.rank - right.rank).map(item => item.message)
     for (const message of [...shuffled, ...shuffled.slice(0, 5), final ?? { changes: [] }]) {
       const { complete, changes } = message
-      const news = complete === undefined ? copy.apply(changes) : copy.replace(complete, changes)
+      const { news, gone } = complete === undefined ? { news: copy.apply(changes), gone: [] } : copy.replace(complete, changes)
+      for (const name of gone) view.delete(name)
       for (const [, name,,,, state] of news) {
         if (state === 'gone') view.delete(name)
         else view.set(name, state)
       }
     }
-    const expected = [...source.changes.values()].map(change => [change[1], change[5]]).sort()
+    const expected = [...model.values()].map(change => [change[1], change[5]]).sort()
     assert.deepEqual([...view].sort(), expected)
     assert.equal(copy.watermark, source.watermark)
   }), { seed: 7, numRuns: 500 })
