feat(publication): report the log's outage on every node

Cause: only the readers, 3 of some 870 nodes in a data center, knew that the log could not be read, while operators ask any node for its status. Ruled out: a field in every message; a node hears from a reader only every few minutes. Change: the first reader of each data center gossips an outage after 5 s, repeats it each minute and gossips its end. Before: logUnavailableSince set on readers only. Conclusion: status needs one node only.

--- a/packages/decisions/src/membership/message.ts
+++ b/packages/decisions/src/membership/message.ts
@@ -1,5 +1,6 @@
 /** Control messages of the membership and directory controllers, checked on receipt. */
 import * as zod from 'zod'
+import * as Clock from '../core/clock.js'
 import * as Ids from '../core/ids.js'
 
 const NAME_LENGTH = 200
@@ -55,7 +56,17 @@
 /** The sender got no answer from several members of the data center; receivers look for themselves. */
 export const silenceUpdate = zod.object({ kind: zod.literal('silence'), dataCenter: text.transform(Ids.dataCenter) })
 
-export const update = zod.discriminatedUnion('kind', [memberUpdate, targetsUpdate, silenceUpdate])
+/** What the readers of a data center say about the log, by the clock of the one that speaks for them. */
+export const logUpdate = zod.object({
+  kind: zod.literal('log'),
+  dataCenter: text.transform(Ids.dataCenter),
+  /** When this was said; later ones replace earlier ones. */
+  at: count.transform(Clock.milliseconds),
+  /** Since when reads fail; absent when they succeed again. */
+  unavailableSince: count.transform(Clock.milliseconds).optional()
+})
+
+export const update = zod.discriminatedUnion('kind', [memberUpdate, targetsUpdate, silenceUpdate, logUpdate])
 const updates = zod.array(update).max(UPDATES_LIMIT)
 const table = zod.enum(['members', 'targets'])
 
@@ -90,6 +101,7 @@
 export type MemberUpdate = zod.infer<typeof memberUpdate>
 export type TargetChange = zod.infer<typeof targetChange>
 export type TargetsUpdate = zod.infer<typeof targetsUpdate>
+export type LogUpdate = zod.infer<typeof logUpdate>
 export type Update = zod.infer<typeof update>
 export type Table = zod.infer<typeof table>
 export type MembershipMessage = zod.infer<typeof membershipMessage>
--- a/packages/decisions/src/publication/configurations.ts
+++ b/packages/decisions/src/publication/configurations.ts
@@ -16,7 +16,10 @@
   behindSince: Clock.Milliseconds | undefined
   /** Nodes of this data center that read the log. */
   readers: readonly Ids.NodeId[] = []
-  /** Since when reads of the log fail; undefined when they succeed or when this node is not a reader. */
+  /**
+   * Since when the readers of this data center cannot read the log; undefined when they can.
+   * Nodes that do not read themselves learn it by gossip, after 5 s at the earliest.
+   */
   logUnavailableSince: Clock.Milliseconds | undefined
 
   /** Policy for a request or, with only a service, for a target. */
--- a/packages/decisions/src/publication/publication.ts
+++ b/packages/decisions/src/publication/publication.ts
@@ -4,9 +4,11 @@
 import * as DefaultPolicy from '../core/default-policy.js'
 import type * as Events from '../core/event.js'
 import * as Ids from '../core/ids.js'
+import type * as MembershipMessages from '../membership/message.js'
 import * as Peers from '../membership/peers.js'
 import * as Exchanges from './exchange.js'
 import * as LogFolds from './log-fold.js'
+import * as LogStatuses from './log-status.js'
 import * as Parsers from './parser.js'
 import * as Readers from './readers.js'
 import * as Snapshots from './snapshots.js'
@@ -22,6 +24,7 @@
   private readonly exchange = new Exchanges.Exchange(this.peers)
   private readonly readers = new Readers.Readers()
   private readonly snapshots = new Snapshots.Snapshots()
+  private readonly logStatus = new LogStatuses.LogStatus()
   private readAt = Clock.milliseconds(0)
   private outstanding: { readonly at: Clock.Milliseconds, discard: boolean } | undefined
   /** A version whose text this node cannot parse; it is not fetched again. */
@@ -47,7 +50,7 @@
     this.exchange.tick(turn)
     const { readers, position } = this.readers.select(turn.board)
     configuration.readers = readers
-    if (position === undefined) configuration.logUnavailableSince = undefined
+    this.logStatus.tick(position !== undefined, readers[0] === turn.board.identity.node, turn)
     if (this.outstanding !== undefined && turn.now - this.outstanding.at >= READ_LIMIT) this.outstanding = undefined
     if (position === undefined || this.outstanding !== undefined || turn.now < this.readAt) return
     this.readAt = Clock.add(turn.now, READ_PERIOD)
@@ -58,7 +61,7 @@
   private readFinished (event: Events.LogRead, turn: Controllers.Turn): void {
     const discard = this.outstanding?.discard ?? true
     this.outstanding = undefined
-    turn.board.configuration.logUnavailableSince = undefined
+    this.logStatus.readSucceeded()
     if (discard) return
     for (const { offset, detail } of this.fold.read(event)) {
       turn.record({ controller: 'publication', decision: 'record-skipped', evidence: `offset ${offset}: ${detail}` })
@@ -72,11 +75,12 @@
 
   private readFailed (turn: Controllers.Turn): void {
     this.outstanding = undefined
-    turn.board.configuration.logUnavailableSince ??= turn.now
+    this.logStatus.readFailed(turn.now)
   }
 
   private receive (event: Events.MessageReceived, turn: Controllers.Turn): void {
     const { message } = event
+    if ('updates' in message) this.relayReports(message.updates, turn)
     if (!('configuration' in message)) return
     const { configuration } = turn.board
     if (message.configuration > configuration.current.version) this.hear(message.configuration, turn)
@@ -94,6 +98,13 @@
     if (newer) this.exchange.heard({ node: event.from, address: message.address, version: message.configuration }, turn)
   }
 
+  private relayReports (updates: readonly MembershipMessages.Update[], turn: Controllers.Turn): void {
+    for (const update of updates) {
+      if (update.kind !== 'log' || !this.logStatus.receive(update, turn)) continue
+      turn.raise({ kind: 'gossip-wanted', key: `log ${update.dataCenter}`, update, urgent: false })
+    }
+  }
+
   private hear (version: Ids.Version, turn: Controllers.Turn): void {
     const { configuration } = turn.board
     if (version > configuration.highestHeard) configuration.highestHeard = version
