fix(publication): take no callers before the configuration is known

Cause: a node that restarts serves by the built-in settings until a peer or the log answers; for that time an accepted configuration is reverted on it. The scenario saw version 0 on two restarted nodes. Ruled out: asking a peer before the first tick; the node knows no peer then. Change: a node refuses callers as node-starting until a version came into force, a complete read of the log showed none, or 3 s passed without any answer. Before: configuration.scenario fails. Conclusion: a new node costs a caller one repeat and no wrong setting.

--- a/packages/decisions/src/core/refusal.ts
+++ b/packages/decisions/src/core/refusal.ts
@@ -15,6 +15,7 @@
   | 'target-leaving'
   | 'target-ejected'
   | 'node-leaving'
+  | 'node-starting'
   | 'request-blocked'
   | 'key-malformed'
   | 'key-content-mismatch'
--- a/packages/decisions/src/publication/configurations.ts
+++ b/packages/decisions/src/publication/configurations.ts
@@ -6,6 +6,11 @@
 
 export class Configurations {
   current: Policies.Configuration = DefaultPolicy.INITIAL_CONFIGURATION
+  /**
+   * A version came into force, the log showed that there is none, or nobody answered for 3 s.
+   * Until then the node takes no requests from callers, because it would treat them by settings that were replaced.
+   */
+  settled = false
   /** The published text of `current`. */
   text = ''
   /** When `current` came into force on this node. */
--- a/packages/decisions/src/publication/publication.ts
+++ b/packages/decisions/src/publication/publication.ts
@@ -14,6 +14,8 @@
 import * as Snapshots from './snapshots.js'
 
 const READ_PERIOD = Clock.milliseconds(500)
+/** A new node serves by the built-in settings when neither the log nor a peer answers for so long. */
+const SETTLE_LIMIT = Clock.seconds(3)
 /** Longer than any read takes; covers a completion that never arrives. */
 const READ_LIMIT = Clock.seconds(30)
 
@@ -25,6 +27,7 @@
   private readonly readers = new Readers.Readers()
   private readonly snapshots = new Snapshots.Snapshots()
   private readonly logStatus = new LogStatuses.LogStatus()
+  private startedAt: Clock.Milliseconds | undefined
   private readAt = Clock.milliseconds(0)
   private outstanding: { readonly at: Clock.Milliseconds, discard: boolean } | undefined
   /** A version whose text this node cannot parse; it is not fetched again. */
@@ -47,6 +50,8 @@
 
   private tick (turn: Controllers.Turn): void {
     const { configuration } = turn.board
+    this.startedAt ??= turn.now
+    if (turn.now - this.startedAt >= SETTLE_LIMIT) configuration.settled = true
     this.exchange.tick(turn)
     const { readers, position } = this.readers.select(turn.board)
     configuration.readers = readers
@@ -66,7 +71,8 @@
     for (const { offset, detail } of this.fold.read(event)) {
       turn.record({ controller: 'publication', decision: 'record-skipped', evidence: `offset ${offset}: ${detail}` })
     }
-    if (!this.fold.caughtUp) this.readAt = turn.now
+    if (this.fold.caughtUp) turn.board.configuration.settled = true
+    else this.readAt = turn.now
     const { accepted } = this.fold
     if (accepted !== undefined) this.adopt(accepted, 'log', turn)
     const { position } = this.readers.select(turn.board)
@@ -135,6 +141,7 @@
     if (version <= configuration.current.version) return
     this.accepted = accepted
     configuration.current = accepted.configuration
+    configuration.settled = true
     configuration.text = accepted.text
     configuration.inForceSince = turn.now
     if (version >= configuration.highestHeard) {
--- a/packages/decisions/src/routing/routing.ts
+++ b/packages/decisions/src/routing/routing.ts
@@ -47,13 +47,9 @@
 
   private arrive (event: Events.RequestArrived, turn: Controllers.Turn): void {
     const request = Records.open(event, turn)
-    if (!turn.board.limits.nodeLeaving || event.hop !== 'entry') return
-    const detail = 'This node is shutting down; use another one.'
-    // An earlier send of a key may have run, and only its owner knows.
-    const keyed = event.key !== undefined && !request.idempotent
-    const refusal = keyed ? Refusals.unknown('node-leaving', detail) : Refusals.notRun('node-leaving', detail, NODE_RETRY_AFTER)
-    turn.emit({ kind: 'refuse', request: event.request, refusal })
-    Records.end(request, { kind: 'refused', refusal }, turn)
+    if (event.hop !== 'entry') return
+    if (turn.board.limits.nodeLeaving) turnAway(request, 'node-leaving', 'This node is shutting down; use another one.', turn)
+    else if (!turn.board.configuration.settled) turnAway(request, 'node-starting', 'This node has not yet learned the configuration; use another one.', turn)
   }
 
   private place (id: Events.PlacementWanted['request'], turn: Controllers.Turn): void {
@@ -127,6 +123,15 @@
   }
 }
 
+/** Refuses a caller's request at a node that takes none now. */
+function turnAway (request: Requests.Request, kind: 'node-leaving' | 'node-starting', detail: string, turn: Controllers.Turn): void {
+  // An earlier send of a key may have run, and only its owner knows.
+  const keyed = request.arrival.key !== undefined && !request.idempotent
+  const refusal = keyed ? Refusals.unknown(kind, detail) : Refusals.notRun(kind, detail, NODE_RETRY_AFTER)
+  turn.emit({ kind: 'refuse', request: request.arrival.request, refusal })
+  Records.end(request, { kind: 'refused', refusal }, turn)
+}
+
 /** At hop `host` the attempt is the one that the sender chose the target for. */
 function adopt (event: Events.AdmissionWanted, turn: Controllers.Turn): void {
   const request = turn.board.requests.get(event.request)
--- a/packages/measurements/src/simulation/node.ts
+++ b/packages/measurements/src/simulation/node.ts
@@ -30,6 +30,8 @@
     readonly name: string, readonly dataCenter: string, readonly region: string, seed: number, readonly fleet: Fleets.Fleet
   ) {
     this.engine = new Decisions.Engines.Engine({ identity: this.identity(), seed })
+    // The simulation has no log; a node without one would refuse callers for its first 3 s.
+    this.engine.board.configuration.settled = true
   }
 
   step (events: readonly Decisions.Events.ExternalEvent[]): void {
--- a/packages/scenarios/src/samples.ts
+++ b/packages/scenarios/src/samples.ts
@@ -4,7 +4,7 @@
 export interface Sample {
   readonly at: number
   readonly ejected: ReadonlySet<string>
-  /** Lowest configuration version on a running node. */
+  /** Lowest configuration version on a running node that takes requests. */
   readonly lowestVersion: number
 }
 
@@ -25,6 +25,9 @@
   const ejected = running.flatMap(node => [...node.engine.board.ejections.local]
     .filter(([, standing]) => standing.kind === 'ejected')
     .map(([target]) => target))
-  const lowestVersion = Math.min(...running.map(node => node.engine.board.configuration.current.version))
+  const lowestVersion = Math.min(...running
+    .map(node => node.engine.board.configuration)
+    .filter(configuration => configuration.settled)
+    .map(configuration => configuration.current.version))
   return { at: fleet.timeline.elapsed(), ejected: new Set(ejected), lowestVersion }
 }
