--- a/packages/node/src/index.ts
+++ b/packages/node/src/index.ts
@@ -1,2 +1,5 @@
 /** Public interface of the node package. */
-export {}
+export * as Daemons from './daemon.js'
+export * as Keys from './key-maker.js'
+export * as Loggers from './observation/logger.js'
+export * as SystemClocks from './clock/system-clock.js'
--- /dev/null
+++ b/packages/node/src/observation/logger.ts
@@ -0,0 +1,24 @@
+/** Structured logs, one JSON object per line on standard error. */
+import type * as Configuration from '@jasminedale/configuration'
+import * as Roarr from 'roarr'
+
+export type Logger = Roarr.Logger
+
+type Level = Configuration.Process.ProcessSettings['logLevel']
+
+function levelOf (line: string): number {
+  const message = JSON.parse(line) as { context?: { logLevel?: number } }
+  return message.context?.logLevel ?? 0
+}
+
+/** Sends every log line of this process at or above `level` to standard error. */
+export function writeLogs (level: Level): void {
+  const lowest = Roarr.logLevels[level]
+  Roarr.ROARR.write = line => {
+    if (levelOf(line) >= lowest) process.stderr.write(`${line}\n`)
+  }
+}
+
+export function loggerFor (node: string): Logger {
+  return Roarr.Roarr.child({ application: 'jasminedale', node })
+}
--- /dev/null
+++ b/packages/node/tests/daemon.test.ts
@@ -0,0 +1,47 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as Undici from 'undici'
+import * as Support from './support.js'
+
+interface Answer { readonly target: string, readonly bodyBytes: number, readonly path: string }
+
+// Guards against a path that loses the body, the query or the typed outcome.
+test('caller to node to backend server', async t => {
+  const { daemon, address } = await Support.startNode({ name: 'n1' })
+  const backend = await Support.startBackend(address)
+  t.after(() => Promise.all([daemon.kill(), backend.stop()]))
+  const response = await Undici.request(`http://${address}/accounts/x?y=1`, { method: 'PUT', body: 'z'.repeat(100_000) })
+  const answer = await response.body.json() as Answer
+  assert.equal(response.headers['jasminedale-outcome'], 'complete')
+  assert.deepEqual([answer.target, answer.bodyBytes, answer.path], ['t1', 100_000, '/accounts/x?y=1'])
+})
+
+// Guards against a hop that drops fields, and against refusals that lose their type on the way back.
+test('caller to node to other node to backend server', async t => {
+  const host = await Support.startNode({ name: 'n2' })
+  const entry = await Support.startNode({ name: 'n1', seeds: [host.address] })
+  const backend = await Support.startBackend(host.address)
+  t.after(() => Promise.all([entry.daemon.kill(), host.daemon.kill(), backend.stop()]))
+  introduce(entry.daemon.engine.board, host.daemon.engine.board)
+  introduce(host.daemon.engine.board, entry.daemon.engine.board)
+  const response = await Undici.request(`http://${entry.address}/accounts/x`, { method: 'POST', body: 'abc' })
+  const answer = await response.body.json() as Answer
+  assert.deepEqual([response.headers['jasminedale-outcome'], answer.target, answer.bodyBytes], ['complete', 't1', 3])
+  host.daemon.engine.board.targets.put({ ...required(host.daemon.engine.board.targets.get(Decisions.Ids.targetId('t1'))), state: 'leaving' })
+  const refused = await Undici.request(`http://${entry.address}/accounts/x`)
+  const problem = await refused.body.json() as { type: string }
+  assert.deepEqual([refused.headers['jasminedale-outcome'], problem.type], ['not-run', 'urn:jasminedale:problem:target-leaving'])
+})
+
+function required<Value> (value: Value | undefined): Value {
+  assert.ok(value !== undefined)
+  return value
+}
+
+/** Copies what gossip would bring: the other node and its targets. */
+function introduce (to: Decisions.Blackboards.Blackboard, other: Decisions.Blackboards.Blackboard): void {
+  const { node, address, dataCenter, region, incarnation } = other.identity
+  to.members.byNode.set(node, { node, address, dataCenter, region, incarnation, state: 'alive', stateSince: Decisions.Clock.milliseconds(0), configuration: Decisions.Ids.version(0) })
+  for (const target of other.targets.byId.values()) to.targets.put(target)
+}
--- /dev/null
+++ b/packages/node/tests/support.ts
@@ -0,0 +1,51 @@
+/** Nodes and stand-ins in this process, on free ports of the loopback interface. */
+import * as Net from 'node:net'
+import * as Decisions from '@jasminedale/decisions'
+import * as Node from '@jasminedale/node'
+import * as StandIns from '@jasminedale/stand-ins'
+
+export async function freePort (host = '127.0.0.1'): Promise<number> {
+  const server = Net.createServer()
+  await new Promise<void>(resolve => server.listen(0, host, resolve))
+  const address = server.address()
+  await new Promise(resolve => server.close(resolve))
+  return typeof address === 'object' && address !== null ? address.port : 0
+}
+
+export interface NodeOptions {
+  readonly name: string
+  readonly seeds?: readonly string[]
+  readonly logService?: string
+  readonly region?: string
+}
+
+export async function startNode (options: NodeOptions): Promise<{ daemon: Node.Daemons.Daemon, address: string }> {
+  const address = `127.0.0.1:${await freePort()}`
+  const started = await Node.Daemons.Daemon.start({
+    node: Decisions.Ids.nodeId(options.name),
+    address: Decisions.Ids.endpoint(address),
+    dataCenter: Decisions.Ids.dataCenter('burnaby-a'),
+    region: Decisions.Ids.region(options.region ?? 'lower-mainland'),
+    seeds: (options.seeds ?? []).map(Decisions.Ids.endpoint),
+    logService: options.logService ?? 'http://127.0.0.1:9',
+    logLevel: 'info'
+  })
+  return { daemon: started._unsafeUnwrap(), address }
+}
+
+export async function startBackend (node: string, options: Partial<StandIns.BackendServers.BackendServerOptions> = {}): Promise<StandIns.BackendServers.BackendServer> {
+  const backend = new StandIns.BackendServers.BackendServer({
+    target: 't1', service: 'accounts', host: '127.0.0.1', port: 0, node: `http://${node}`, slots: 50, serviceTime: 1, ...options
+  })
+  await backend.start()
+  return backend
+}
+
+/** Polls until the condition holds; fails after `patience` ms. */
+export async function eventually (condition: () => boolean | Promise<boolean>, patience = 8_000): Promise<void> {
+  const until = performance.now() + patience
+  while (!await condition()) {
+    if (performance.now() > until) throw new Error('the condition did not hold in time')
+    await new Promise(resolve => setTimeout(resolve, 20))
+  }
+}
