--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,5 +1,5 @@
 /** Wires one node together and starts and stops it. */
-import type * as Configuration from '@jasminedale/configuration'
+import * as Configuration from '@jasminedale/configuration'
 import * as Decisions from '@jasminedale/decisions'
 import * as Awilix from 'awilix'
 import * as neverthrow from 'neverthrow'
@@ -56,7 +56,8 @@
 
 /** Different nodes and incarnations make different random choices. */
 function engineOf ({ identity }: Cradle): Decisions.Engines.Engine {
-  return new Decisions.Engines.Engine({ identity, seed: Decisions.Rendezvous.hash(`${identity.node}.${identity.incarnation}`) })
+  const seed = Decisions.Rendezvous.hash(`${identity.node}.${identity.incarnation}`)
+  return new Decisions.Engines.Engine({ identity, seed, parseConfiguration: Configuration.Fleets.parseConfiguration })
 }
 
 function wire (settings: Configuration.Process.ProcessSettings): Cradle {
--- a/packages/stand-ins/src/backend-server.ts
+++ b/packages/stand-ins/src/backend-server.ts
@@ -126,7 +126,7 @@
       await Timers.setTimeout(this.serviceTime(request.headers), undefined, { signal: cancelled.signal })
     } catch {
       this.executions.cancel(request.headers)
-      return hang(reply)
+      return await Promise.resolve(hang(reply))
     } finally {
       this.running -= 1
     }
