feat(command-line): run, drain, query and drive a node

Cause: nodes and stand-ins had no processes, and other programs no way into the engine. Found: instants with fractions made every target gossip message invalid at its receiver, so SystemClock gives whole milliseconds. Roarr stays silent without its variable at import.

--- a/packages/command-line/src/program.ts
+++ b/packages/command-line/src/program.ts
@@ -1,7 +1,12 @@
 /** The command line: one module in commands/ for each subcommand. */
 import * as Commander from 'commander'
 import * as Check from './commands/check.js'
+import * as Drain from './commands/drain.js'
+import * as Drive from './commands/drive.js'
+import * as Explain from './commands/explain.js'
+import * as Node from './commands/node.js'
 import * as Publish from './commands/publish.js'
+import * as Status from './commands/status.js'
 import * as ExitCodes from './exit-code.js'
 
 /** Builds the program with all its subcommands. */
@@ -12,5 +17,10 @@
     .exitOverride(error => { process.exit(error.exitCode === 0 ? ExitCodes.EXIT_CODE.success : ExitCodes.EXIT_CODE.usage) })
   Check.register(root)
   Publish.register(root)
+  Node.register(root)
+  Drain.register(root)
+  Status.register(root)
+  Explain.register(root)
+  Drive.register(root)
   return root
 }
--- a/packages/node/src/clock/system-clock.ts
+++ b/packages/node/src/clock/system-clock.ts
@@ -6,7 +6,7 @@
 /** Share of the elapsed time by which smaller corrections are spread out. */
 const CORRECTION_RATE = 0.1
 
-/** Never runs backwards: a wall clock that is set back is approached by running slower. */
+/** Whole milliseconds. Never runs backwards: a wall clock that is set back is approached by running slower. */
 export class SystemClock extends Decisions.Clock.Clock {
   private offset = Date.now() - performance.now()
   private measuredAt = performance.now()
@@ -17,6 +17,6 @@
     const allowance = (elapsed - this.measuredAt) * CORRECTION_RATE
     this.offset += error > JUMP_MS ? error : Math.max(-allowance, Math.min(allowance, error))
     this.measuredAt = elapsed
-    return Decisions.Clock.milliseconds(elapsed + this.offset)
+    return Decisions.Clock.milliseconds(Math.floor(elapsed + this.offset))
   }
 }
--- a/packages/node/src/observation/logger.ts
+++ b/packages/node/src/observation/logger.ts
@@ -1,4 +1,5 @@
 /** Structured logs, one JSON object per line on standard error. */
+import './roarr-enabled.js'
 import type * as Configuration from '@jasminedale/configuration'
 import * as Roarr from 'roarr'
 
@@ -11,6 +12,9 @@
   return message.context?.logLevel ?? 0
 }
 
+/** Silent until `writeLogs`: programs that embed a node choose where its log goes. */
+Roarr.ROARR.write = () => { /* Not asked for. */ }
+
 /** Sends every log line of this process at or above `level` to standard error. */
 export function writeLogs (level: Level): void {
   const lowest = Roarr.logLevels[level]
--- /dev/null
+++ b/packages/node/tests/faults.test.ts
@@ -0,0 +1,116 @@
+import * as assert from 'node:assert/strict'
+import * as Datagrams from 'node:dgram'
+import * as Net from 'node:net'
+import * as Stream from 'node:stream'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as Node from '@jasminedale/node'
+import * as StandIns from '@jasminedale/stand-ins'
+import * as Undici from 'undici'
+import * as Support from './support.js'
+
+/** Sends raw bytes and returns everything that comes back until the connection ends. */
+async function exchange (address: string, bytes: string): Promise<string> {
+  const [host, port] = address.split(':')
+  const socket = Net.connect({ host: host ?? '', port: Number(port) })
+  socket.write(bytes)
+  let received = ''
+  for await (const chunk of socket) received += String(chunk)
+  return received
+}
+
+async function fleet (t: { after: (end: () => unknown) => void }): Promise<{ host: string, entry: string, backend: StandIns.BackendServers.BackendServer, daemon: Node.Daemons.Daemon }> {
+  const host = await Support.startNode({ name: 'n2' })
+  const entry = await Support.startNode({ name: 'n1', seeds: [host.address] })
+  const backend = await Support.startBackend(host.address)
+  t.after(() => Promise.all([entry.daemon.kill(), host.daemon.kill(), backend.stop()]))
+  await Support.eventually(() => entry.daemon.engine.board.targets.get(Decisions.Ids.targetId('t1')) !== undefined)
+  return { host: host.address, entry: entry.address, backend, daemon: entry.daemon }
+}
+
+// Guards against a cut-off response that the caller takes for a whole one, in both framings and over two nodes.
+test('truncated response is never complete', async t => {
+  const { entry, host, backend } = await fleet(t)
+  backend.faults = StandIns.Faults.faultsSchema.parse({ truncateRate: 1 })
+  for (const address of [entry, host]) {
+    for (const headers of [{}, { 'stand-in-chunked': '1' }]) {
+      await assert.rejects(async () => {
+        const response = await Undici.request(`http://${address}/accounts/x`, { headers })
+        await response.body.text()
+        assert.notEqual(response.headers['jasminedale-outcome'], 'complete')
+        throw new Error('refused, not cut off')
+      }, { name: /Error/ })
+    }
+  }
+})
+
+// Guards against work that goes on at the backend server after its caller has left.
+test('cancellation reaches the backend server', async t => {
+  const { entry, backend } = await fleet(t)
+  const call = Undici.request(`http://${entry}/accounts/x`, { headers: { 'stand-in-time': '5000' }, signal: AbortSignal.timeout(300) })
+  await assert.rejects(call)
+  await Support.eventually(() => backend.executions.total.cancelled === 1, 2_000)
+})
+
+// Guards against a deadline that one hop forgets.
+test('deadline travels and ends with a typed answer', async t => {
+  const { entry, backend } = await fleet(t)
+  const startedAt = performance.now()
+  const response = await Undici.request(`http://${entry}/accounts/x`, { headers: { 'stand-in-time': '5000', 'jasminedale-deadline': '400' } })
+  const { type } = await response.body.json() as { type: string }
+  assert.equal(response.headers['jasminedale-outcome'], 'unknown')
+  assert.match(type, /upstream-timeout|deadline-exceeded/)
+  assert.ok(performance.now() - startedAt < 1_500)
+  await Support.eventually(() => backend.executions.total.cancelled === 1, 2_000)
+})
+
+// Guards against bad input that ends the process or gets no type.
+test('bad input gets a typed refusal and the node keeps serving', async t => {
+  const { entry } = await fleet(t)
+  const type = (kind: string): RegExp => new RegExp(`jasminedale-outcome: not-run[^]*urn:jasminedale:problem:${kind}`)
+  assert.match(await exchange(entry, 'nonsense\r\n\r\n'), type('request-malformed'))
+  assert.match(await exchange(entry, `GET /accounts/x HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`), /^HTTP\/1.1 431[^]*request-malformed/)
+  assert.match(await exchange(entry, 'POST /accounts/x HTTP/1.1\r\nhost: localhost\r\ncontent-length: 9999999\r\n\r\n'), type('body-too-large'))
+  assert.match(await exchange(entry, 'POST /accounts/x HTTP/1.1\r\nhost: localhost\r\ncontent-length: 5\r\ntransfer-encoding: chunked\r\n\r\n'), type('request-malformed'))
+  assert.match(await exchange(entry, 'GET /accounts/x HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\nexpect: magic\r\n\r\n'), /^HTTP\/1.1 417/)
+  assert.match(await exchange(entry, 'GET /accounts/x HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\njasminedale-hop: host\r\njasminedale-from: nobody\r\njasminedale-target: t1\r\njasminedale-signature: s\r\n\r\n'), type('request-malformed'))
+  assert.match(await exchange(entry, 'GET /nowhere/x HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\n\r\n'), type('service-unknown'))
+  const large = await Undici.request(`http://${entry}/accounts/x`, { method: 'PUT', body: Stream.Readable.from(Array.from({ length: 64 }, () => Buffer.alloc(65_536))) })
+  assert.match(await large.body.text(), /body-too-large/)
+  const odd = await Undici.request(`http://${entry}/accounts/%zz`)
+  assert.equal(odd.headers['jasminedale-outcome'], 'complete')
+})
+
+// Guards against responses without a body that hang or lose their length.
+test('head and expect are passed through', async t => {
+  const { entry } = await fleet(t)
+  const head = await Undici.request(`http://${entry}/accounts/x`, { method: 'HEAD' })
+  assert.deepEqual([head.headers['jasminedale-outcome'], Number(head.headers['content-length']) > 0, await head.body.text()], ['complete', true, ''])
+  const expected = await exchange(entry, 'PUT /accounts/x HTTP/1.1\r\nhost: localhost\r\nconnection: close\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\nabc')
+  assert.match(expected, /^HTTP\/1.1 100 Continue[^]*HTTP\/1.1 200 OK[^]*"bodyBytes":3/)
+})
+
+// Guards against control messages that end the process or pass unseen.
+test('undecodable control messages are counted and dropped', async t => {
+  const { entry, daemon } = await fleet(t)
+  const socket = Datagrams.createSocket('udp4')
+  t.after(() => { socket.close() })
+  const [host, port] = entry.split(':')
+  const texts = ['nonsense', '{}', '{"jsonrpc":"2.0","method":"other"}', '{"jsonrpc":"2.0","method":"control","params":{"from":"x","message":{"kind":"no"}}}']
+  for (const text of texts) socket.send(text, Number(port), host)
+  await Support.eventually(async () => {
+    const status = await (await Undici.request(`http://${entry}/.jasminedale/status`)).body.json() as { totals: Record<string, number> }
+    return status.totals['control.dropped'] === texts.length
+  }, 2_000)
+  assert.ok(daemon.engine.board.members.byNode.size > 0)
+})
+
+// Guards against two processes that both believe to serve one address.
+test('second node on the same port fails with a type', async t => {
+  const { host } = await fleet(t)
+  const second = await Node.Daemons.Daemon.start({
+    node: Decisions.Ids.nodeId('n3'), address: Decisions.Ids.endpoint(host), dataCenter: Decisions.Ids.dataCenter('a'),
+    region: Decisions.Ids.region('r'), seeds: [], logService: 'http://127.0.0.1:9', logLevel: 'info'
+  })
+  assert.deepEqual(second._unsafeUnwrapErr(), { kind: 'address-in-use', address: host })
+})
--- /dev/null
+++ b/packages/stand-ins/src/main.ts
@@ -0,0 +1,56 @@
+#!/usr/bin/env node
+/** Stand-ins as processes. */
+import * as Commander from 'commander'
+import * as BackendServers from './backend-server.js'
+import * as LogServices from './log-service.js'
+
+interface BackendOptions {
+  readonly target: string
+  readonly service: string
+  readonly host: string
+  readonly port: string
+  readonly node?: string
+  readonly slots: string
+  readonly serviceTime: string
+}
+
+interface LogOptions {
+  readonly host: string
+  readonly port: string
+}
+
+async function runBackend (options: BackendOptions): Promise<void> {
+  const { target, service, host, node } = options
+  const server = new BackendServers.BackendServer({
+    target, service, host, port: Number(options.port), slots: Number(options.slots), serviceTime: Number(options.serviceTime),
+    ...(node === undefined ? {} : { node })
+  })
+  await server.start()
+  process.stdout.write(`${server.address}\n`)
+  process.once('SIGTERM', () => { void server.drain() })
+}
+
+async function runLog (options: LogOptions): Promise<void> {
+  const service = new LogServices.LogService({ host: options.host, port: Number(options.port) })
+  await service.start()
+  process.stdout.write(`${service.url}\n`)
+  process.once('SIGTERM', () => { void service.stop() })
+}
+
+const program = new Commander.Command('stand-ins').description('Stand-ins for tests, measurements and the demo')
+program.command('backend')
+  .description('a backend server that announces itself; faults by POST /stand-in/faults')
+  .requiredOption('--target <id>')
+  .requiredOption('--service <name>')
+  .option('--host <address>', 'address to listen on', '127.0.0.1')
+  .option('--port <number>', '0 takes a free port', '0')
+  .option('--node <url>', 'base URL of the node on the same VM')
+  .option('--slots <number>', 'requests at once', '4')
+  .option('--service-time <ms>', 'time for one request', '5')
+  .action(runBackend)
+program.command('log')
+  .description('the log service')
+  .option('--host <address>', 'address to listen on', '127.0.0.1')
+  .option('--port <number>', '0 takes a free port', '0')
+  .action(runLog)
+await program.parseAsync(process.argv)
