--- a/packages/decisions/tests/fleet.ts
+++ b/packages/decisions/tests/fleet.ts
@@ -37,7 +37,7 @@
   readonly nodes = new Map<string, Node>()
   readonly log = { records: [] as Decisions.Events.LogRecord[], end: 0, down: false, loseReplies: false, retention: 3_600_000, reads: 0 }
   /** Whether a message from one node to another is dropped. */
-  cut: (from: Node, to: Node) => boolean = () => false
+  cut: (from: Node, to: Node, channel: 'datagram' | 'stream') => boolean = () => false
   /** Messages of each kind and their bytes as JSON. */
   readonly sent = new Map<string, { count: number, bytes: number }>()
   private readonly jobs: Job[] = []
@@ -95,11 +95,10 @@
     while (this.jobs.length > 0 && (this.jobs[0] as Job).at <= start + duration) {
       const job = this.pop()
       this.now = job.at
-      if (until !== undefined && this.now >= checked + TICK / 2) {
-        checked = this.now
-        if (until()) return this.now - start
-      }
       job.run()
+      if (until === undefined || this.now < checked + TICK / 2) continue
+      checked = this.now
+      if (until()) return this.now - start
     }
     this.now = start + duration
     return duration
@@ -177,7 +176,7 @@
     const tally = this.sent.get(message.kind) ?? { count: 0, bytes: 0 }
     this.sent.set(message.kind, { count: tally.count + 1, bytes: tally.bytes + text.length })
     const to = this.byAddress.get(address)
-    if (to === undefined || this.random.fraction() < (this.options.loss ?? 0) || this.cut(from, to)) return
+    if (to === undefined || this.random.fraction() < (this.options.loss ?? 0) || this.cut(from, to, channel)) return
     const region = this.options.regionOf
     const delay = region !== undefined && region(from.dataCenter) !== region(to.dataCenter) ? 8 : 1
     const received = this.options.checked === true ? Decisions.Messages.messageSchema.parse(JSON.parse(JSON.stringify(message))) : message
@@ -189,12 +188,13 @@
 
   private read (node: Node, { stream, from }: Decisions.Commands.ReadLog): void {
     const { generation } = node
-    this.log.reads += 1
+    if (stream === 'configuration') this.log.reads += 1
     this.after(LOG_DELAY, () => {
       if (node.generation !== generation) return
       const { log } = this
       while (log.records[0] !== undefined && this.now - log.records[0].appendedAt > log.retention) log.records.shift()
-      if (log.down) {
+      // The log of this fake has stream `configuration` only.
+      if (log.down || stream !== 'configuration') {
         this.step(node, { kind: 'log-unavailable', stream })
         return
       }
@@ -206,7 +206,8 @@
   }
 
   private appendFor (node: Node, { stream, token, body }: Decisions.Commands.AppendLog): void {
-    const { down, loseReplies } = this.log
+    const { loseReplies } = this.log
+    const down = this.log.down || stream !== 'configuration'
     if (!down) this.append(JSON.parse(body))
     const result = down ? 'failed' : loseReplies ? 'unknown' : 'appended'
     this.after(LOG_DELAY, () => { this.step(node, { kind: 'append-finished', stream, token, result }) })
