--- /dev/null
+++ b/packages/measurements/src/main.ts
@@ -0,0 +1,7 @@
+/** `npm run measure -- SUBCOMMAND`: one module in commands/ for each measurement. */
+import * as Commander from 'commander'
+import * as Latency from './commands/latency.js'
+
+const program = new Commander.Command('measure').description('Measurements of jasminedale').showHelpAfterError()
+Latency.register(program)
+await program.parseAsync(process.argv)
--- a/packages/node/src/observation/status.ts
+++ b/packages/node/src/observation/status.ts
@@ -21,6 +21,11 @@
   return new Date(at).toISOString()
 }
 
+function processorTime (): number {
+  const { user, system } = process.cpuUsage()
+  return user + system
+}
+
 export class Status {
   private readonly parts: Parts
 
@@ -39,6 +44,7 @@
       incarnation: identity.incarnation,
       configuration: { version: board.configuration.current.version, publication: board.configuration.current.publication },
       stale: this.stale(),
+      process: { processorMicroseconds: processorTime(), residentBytes: process.memoryUsage.rss() },
       requestsOpen: gateway.open,
       connectionPools: pools.size,
       members: [...board.members.byNode.values()].map(member => ({ ...member, stateSince: instant(member.stateSince) })),
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -5,7 +5,7 @@
 import * as LogServices from './log-service.js'
 
 interface BackendOptions {
-  readonly target: string
+  readonly target: readonly string[]
   readonly service: string
   readonly host: string
   readonly port: string
@@ -20,14 +20,14 @@
 }
 
 async function runBackend (options: BackendOptions): Promise<void> {
-  const { target, service, host, node } = options
-  const server = new BackendServers.BackendServer({
+  const { service, host, node } = options
+  const servers = options.target.map(target => new BackendServers.BackendServer({
     target, service, host, port: Number(options.port), slots: Number(options.slots), serviceTime: Number(options.serviceTime),
     ...(node === undefined ? {} : { node })
-  })
-  await server.start()
-  process.stdout.write(`${server.address}\n`)
-  process.once('SIGTERM', () => { void server.drain() })
+  }))
+  await Promise.all(servers.map(server => server.start()))
+  process.stdout.write(`${servers.map(server => server.address).join(' ')}\n`)
+  process.once('SIGTERM', () => { void Promise.all(servers.map(server => server.drain())) })
 }
 
 async function runLog (options: LogOptions): Promise<void> {
@@ -39,8 +39,8 @@
 
 const program = new Commander.Command('stand-ins').description('Stand-ins for tests, measurements and the demo')
 program.command('backend')
-  .description('a backend server that announces itself; faults by POST /stand-in/faults')
-  .requiredOption('--target <id>')
+  .description('backend servers that announce themselves; faults by POST /stand-in/faults')
+  .requiredOption('--target <ids...>', 'one backend server each')
   .requiredOption('--service <name>')
   .option('--host <address>', 'address to listen on', '127.0.0.1')
   .option('--port <number>', '0 takes a free port', '0')
