--- a/packages/node/src/pools.ts
+++ b/packages/node/src/pools.ts
@@ -75,7 +75,8 @@
     return new Undici.Pool(`http://${address}`, {
       connections: CONNECTIONS_PER_ADDRESS,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MS, localAddress: this.localAddress },
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+      localAddress: this.localAddress,
       headersTimeout: 0,
       bodyTimeout: 0,
       keepAliveTimeout: IDLE_CONNECTION_MS,
--- a/packages/stand-ins/src/caller.ts
+++ b/packages/stand-ins/src/caller.ts
@@ -57,13 +57,14 @@
   /** Sends a call, again through another node when that is safe: it is idempotent, has a key, or did not run. */
   async call (call: Call): Promise<CallResult> {
     this.sent += 1
-    const id = `call-${this.sent}`
+    // A resend of a key gets the answer to its first request, so the key identifies both.
+    const id = call.key ?? `call-${this.sent}`
     let result = await this.send(call, id)
     for (let tries = 1; tries < (this.options.attempts ?? 1) && maySendAgain(call, result); tries += 1) {
       await Timers.setTimeout(PAUSE_MS * tries)
       result = await this.send(call, id)
     }
-    const name = result.kind === 'refused' ? `refused ${result.outcome}` : result.kind
+    const name = result.kind === 'refused' ? `refused ${result.outcome} ${result.type.split(':').at(-1) ?? ''}` : result.kind
     this.counts.set(name, (this.counts.get(name) ?? 0) + 1)
     return result
   }
