--- a/packages/node/src/local-targets.ts
+++ b/packages/node/src/local-targets.ts
@@ -7,8 +7,8 @@
 import type * as Loggers from './observation/logger.js'
 import type * as Attempts from './requests/attempt.js'
 
-/** Three missed announcements of one second, and half a second for a late one. */
-const SILENCE_MS = 3_500
+/** Silent backend servers are forgotten here; the engine counts missed announcements itself. */
+const FORGET_MS = 60_000
 const CHECK_TIMEOUT_MS = 500
 
 export const announcementSchema = zod.object({
@@ -89,11 +89,11 @@
     else report()
   }
 
-  /** Reports backend servers that stopped announcing themselves. Called at every tick. */
+  /** Called at every tick. */
   sweep (): void {
     const now = performance.now()
     for (const [target, known] of this.known) {
-      if (now - known.heardAt > SILENCE_MS) this.remove(target, 'three announcements were missed')
+      if (now - known.heardAt > FORGET_MS && known.inFlight === 0) this.known.delete(target)
     }
   }
 
@@ -103,16 +103,16 @@
     if (running !== undefined) return running
     const check = refusesConnections(address).then(refuses => {
       this.checks.delete(target)
-      if (refuses && this.known.get(target)?.announcement.incarnation === incarnation) this.remove(target, 'the connection was refused')
+      if (refuses && this.known.get(target)?.announcement.incarnation === incarnation) this.remove(target)
     })
     this.checks.set(target, check)
     return check
   }
 
-  private remove (target: Decisions.Ids.TargetId, reason: string): void {
+  private remove (target: Decisions.Ids.TargetId): void {
     const crashed = this.known.get(target)?.leaving === false
     this.known.delete(target)
-    this.parts.logger.warn({ target, crashed, reason }, 'backend server is gone')
+    this.parts.logger.warn({ target, crashed }, 'backend server refuses connections')
     this.parts.loop.submit({ kind: 'target-gone', target, crashed })
   }
 }
--- a/packages/node/src/observation/status.ts
+++ b/packages/node/src/observation/status.ts
@@ -42,6 +42,8 @@
       dataCenter: identity.dataCenter,
       region: identity.region,
       incarnation: identity.incarnation,
+      /** Whether callers are served; a node that does not know the configuration yet refuses them. */
+      ready: board.configuration.settled,
       configuration: { version: board.configuration.current.version, publication: board.configuration.current.publication },
       stale: this.stale(),
       process: { processorMicroseconds: processorTime(), residentBytes: process.memoryUsage.rss() },
--- a/packages/node/tests/faults.test.ts
+++ b/packages/node/tests/faults.test.ts
@@ -114,3 +114,18 @@
   })
   assert.deepEqual(second._unsafeUnwrapErr(), { kind: 'address-in-use', address: host })
 })
+
+// Guards against a request that crashes one backend server after the other.
+test('request that crashed two backend servers is blocked', async t => {
+  const { host, entry, backend } = await fleet(t)
+  const crash = { ...StandIns.Faults.NO_FAULTS, crashOnMark: true }
+  const second = await Support.startBackend(host, { target: 't2', crash: () => { void second.stop() } })
+  const first = await Support.startBackend(host, { target: 't3', crash: () => { void first.stop() } })
+  await backend.stop()
+  t.after(() => Promise.all([first.stop(), second.stop()]))
+  for (const server of [first, second]) server.faults = crash
+  await Support.eventually(async () => {
+    const response = await Undici.request(`http://${entry}/accounts/poison`, { headers: { 'stand-in-crash': '1' } })
+    return (await response.body.text()).includes('request-blocked')
+  })
+})
--- a/packages/stand-ins/src/fleet-process.ts
+++ b/packages/stand-ins/src/fleet-process.ts
@@ -78,7 +78,7 @@
     await fs.writeFile(file, ['[node]', `id = ${place.name}`, `address = ${address}`, `data-center = ${place.dataCenter}`,
       `region = ${place.region}`, `log-service = ${logService}`, 'log-level = warn', ...seedLine].join('\n'))
     const started = { ...this.start('command-line/dist/main.js', ['node', file]), address }
-    const ready = await eventually(async () => { await getJson(address, '/.jasminedale/status'); return true })
+    const ready = await eventually(async () => (await getJson(address, '/.jasminedale/status') as { ready: boolean }).ready)
     if (!ready) throw new Error(`node ${place.name} did not start: ${started.output()}`)
     return started
   }
