--- a/packages/node/src/daemon.ts
+++ b/packages/node/src/daemon.ts
@@ -1,4 +1,5 @@
 /** Wires one node together and starts and stops it. */
+import * as Timers from 'node:timers/promises'
 import * as Configuration from '@jasminedale/configuration'
 import * as Decisions from '@jasminedale/decisions'
 import * as Awilix from 'awilix'
@@ -18,6 +19,9 @@
 import * as Gateways from './requests/gateway.js'
 import * as Servers from './server.js'
 
+/** Requesters that read the end of their response more slowly than this are cut off at a planned stop. */
+const FLUSH_MS = 10_000
+
 /** Everything that is wired, by the name under which classes ask for it. */
 interface Cradle {
   readonly settings: Configuration.Process.ProcessSettings
@@ -102,9 +106,10 @@
   async stop (): Promise<Drains.DrainReport> {
     const { drain, logger } = this.parts
     logger.info({}, 'planned stop begins')
-    const report = await drain.ofNode()
-    await this.parts.server.close()
+    const { abandoned } = await drain.ofNode()
+    const unread = await Promise.race([this.parts.server.close().then(() => 0), after(FLUSH_MS).then(() => this.parts.server.connections())])
     await close(this.parts)
+    const report = { abandoned: Math.max(abandoned, unread) }
     logger.info({ ...report }, 'node stopped')
     return report
   }
@@ -116,6 +121,10 @@
   }
 }
 
+async function after (duration: number): Promise<void> {
+  await Timers.setTimeout(duration, undefined, { ref: false })
+}
+
 async function open (parts: Cradle): Promise<void> {
   const { server, control, loop, executor, targets, gateway, drain, pools, identity, logger } = parts
   try {
--- a/packages/node/src/server.ts
+++ b/packages/node/src/server.ts
@@ -63,6 +63,13 @@
     await this.app.close()
   }
 
+  /** Connections that are still open. */
+  async connections (): Promise<number> {
+    return await new Promise(resolve => {
+      this.app.server.getConnections((error, count) => { resolve(error === null ? count : 0) })
+    })
+  }
+
   /** Bodies are left unread on the connection: the gateway streams them. */
   private registerProxy (instance: Fastify.FastifyInstance): void {
     instance.removeAllContentTypeParsers()
