--- a/packages/node/tests/daemon.test.ts
+++ b/packages/node/tests/daemon.test.ts
@@ -35,3 +35,22 @@
     return refused.headers['jasminedale-outcome'] === 'not-run' && problem.type.startsWith('urn:jasminedale:problem:')
   })
 })
+
+// Guards against an order that runs again when its caller sends it again through another node.
+test('resend of a keyed order gets the stored response', async t => {
+  const host = await Support.startNode({ name: 'n2' })
+  const entry = await Support.startNode({ name: 'n1', seeds: [host.address] })
+  const backend = await Support.startBackend(host.address)
+  t.after(() => Promise.all([entry.daemon.kill(), host.daemon.kill(), backend.stop()]))
+  const order = async (address: string, key: string): Promise<Undici.Dispatcher.ResponseData> =>
+    await Undici.request(`http://${address}/accounts/orders`, { method: 'POST', body: 'one', headers: { 'idempotency-key': key } })
+  let key = ''
+  await Support.eventually(async () => {
+    key = (await (await Undici.request(`http://${entry.address}/.jasminedale/key`)).body.json() as { key: string }).key
+    return (await order(entry.address, key)).headers['jasminedale-outcome'] === 'complete'
+  })
+  const again = await order(host.address, key)
+  const answer = await again.body.json() as Answer
+  assert.deepEqual([again.headers['jasminedale-outcome'], again.headers['jasminedale-replayed'], answer.target], ['complete', 'stored', 't1'])
+  assert.equal(backend.executions.total.started, 1)
+})
