fix(node): claim not-run only where nothing can have run

Cause: refusals made before the engine sees a request said not-run although an earlier request with the same key may have run, and a request cut off by a timeout or broken chunks could get a not-run answer while its first bytes were at a backend server. Change: such refusals of keyed requests are unknown, except at hop host; a connection with a request in progress is closed without an answer. A sender that is not known as a member gets target-unknown, which an entry tries elsewhere.

--- a/packages/node/src/requests/arrival.ts
+++ b/packages/node/src/requests/arrival.ts
@@ -23,8 +23,8 @@
 
 type Refused = neverthrow.Result<Heading, Decisions.Refusals.Refusal>
 
-/** Whether a request from this address may carry fields of the protocol between nodes. */
-export type PeerCheck = (address: string, node: Decisions.Ids.NodeId) => boolean
+/** Whether the sender's address is that of the member it names; `unknown` when there is no such member here yet. */
+export type PeerCheck = (address: string, node: Decisions.Ids.NodeId) => 'peer' | 'unknown' | 'stranger'
 
 function malformed (detail: string): Refused {
   return neverthrow.err(Decisions.Refusals.notRun('request-malformed', detail))
@@ -46,8 +46,11 @@
 function forwarded (request: Http.IncomingMessage, common: Heading, isPeer: PeerCheck): Refused {
   const hop = text(request, Wire.HOP)
   const from = Decisions.Ids.nodeId(text(request, Wire.FROM) ?? '')
-  if (!isPeer(request.socket.remoteAddress ?? '', from)) {
-    return malformed(`Header ${Wire.HOP} is accepted from members of the fleet only.`)
+  switch (isPeer(request.socket.remoteAddress ?? '', from)) {
+    case 'peer': break
+    case 'stranger': return malformed(`Header ${Wire.HOP} is accepted from members of the fleet only.`)
+    // A node that has just joined may be unknown here for a moment; it can use another target.
+    case 'unknown': return neverthrow.err(Decisions.Refusals.notRun('target-unknown', 'The sending node is not known here as a member.'))
   }
   const target = text(request, Wire.TARGET)
   const signature = text(request, Wire.SIGNATURE)
@@ -91,6 +94,14 @@
   return text(request, Wire.HOP) === undefined ? neverthrow.ok(common) : forwarded(request, common, isPeer)
 }
 
+/**
+ * An earlier request with this key may have run, so only the key's ledger can say "not run".
+ * At hop `host` the ledger's node asks, and is answered about this one attempt.
+ */
+export function mayHaveRunBefore (request: Http.IncomingMessage): boolean {
+  return text(request, Wire.IDEMPOTENCY_KEY) !== undefined && text(request, Wire.HOP) !== 'host'
+}
+
 /** Digest of what identifies a request's content. Of a streamed body it covers the held bytes and the stated length. */
 function signatureOf (request: Http.IncomingMessage, heading: Heading, body: Bodies.Body): Decisions.Ids.Signature {
   const head = `${heading.service}\u0000${request.method ?? ''}\u0000${heading.path}\u0000${request.headers['content-length'] ?? ''}\u0000`
--- a/packages/node/src/requests/gateway.ts
+++ b/packages/node/src/requests/gateway.ts
@@ -1,6 +1,8 @@
 /** Receives requests, gives them to the engine and carries out what it decides about them. */
 import type * as Http from 'node:http'
+import type * as Net from 'node:net'
 import * as Decisions from '@jasminedale/decisions'
+import * as Endpoints from '../endpoint.js'
 import type * as EngineLoops from '../engine-loop.js'
 import type * as Loggers from '../observation/logger.js'
 import type * as Metrics from '../observation/metrics.js'
@@ -16,6 +18,7 @@
 
 /** The engine answers by the deadline; this much later the exchange is ended here. */
 const ABANDON_AFTER_MS = 2_000
+const STATUS_EXPECTATION_FAILED = 417
 
 interface Parts {
   readonly engine: Decisions.Engines.Engine
@@ -31,6 +34,8 @@
 export class Gateway implements Attempts.Listener {
   private readonly parts: Parts
   private readonly exchanges = new Map<Decisions.Ids.RequestId, Exchanges.Exchange>()
+  /** Connections with a request that is not answered yet. */
+  private readonly busy = new WeakMap<Net.Socket, number>()
   private readonly requestOf = new Map<Decisions.Ids.AttemptId, Decisions.Ids.RequestId>()
   private received = 0
 
@@ -47,7 +52,11 @@
   handle (request: Http.IncomingMessage, response: Http.ServerResponse): void {
     const inbound = { request, response }
     const startedAt = performance.now()
-    response.on('close', () => { this.parts.metrics.time('request', performance.now() - startedAt) })
+    this.occupy(request.socket, 1)
+    response.on('close', () => {
+      this.occupy(request.socket, -1)
+      this.parts.metrics.time('request', performance.now() - startedAt)
+    })
     const heading = Arrivals.readHeading(request, this.isPeer)
     if (heading.isErr()) {
       this.refuse(inbound, heading.error)
@@ -63,6 +72,16 @@
     else this.admit(inbound, heading.value, policy, Bodies.NO_BODY, startedAt)
   }
 
+  /** Answers an Expect header other than 100-continue. */
+  refuseExpectation (request: Http.IncomingMessage, response: Http.ServerResponse): void {
+    this.refuse({ request, response }, Decisions.Refusals.notRun('request-malformed', 'Only the expectation 100-continue is supported.'), STATUS_EXPECTATION_FAILED)
+  }
+
+  /** Whether a request of this connection is in progress: nothing can be said then about what ran. */
+  isBusy (socket: Net.Socket): boolean {
+    return (this.busy.get(socket) ?? 0) > 0
+  }
+
   dispatch (command: Decisions.Commands.Dispatch): void {
     const fields = [Wire.DEADLINE, String(Math.max(0, Math.round(command.remaining)))]
     this.attempt(command, fields)
@@ -139,7 +158,8 @@
 
   private readonly isPeer: Arrivals.PeerCheck = (address, node) => {
     const member = this.parts.engine.board.members.get(node)
-    return member?.address.slice(0, member.address.lastIndexOf(':')) === address
+    if (member === undefined) return 'unknown'
+    return Endpoints.split(member.address).host === address ? 'peer' : 'stranger'
   }
 
   private async receive (inbound: Exchanges.Inbound, heading: Arrivals.Heading, policy: Decisions.Policies.Policy, startedAt: number): Promise<void> {
@@ -159,9 +179,14 @@
     }
   }
 
-  private refuse (inbound: Exchanges.Inbound, refusal: Decisions.Refusals.Refusal): void {
+  /** Refuses a request that the engine does not see; an earlier one with the same key may have run. */
+  private refuse (inbound: Exchanges.Inbound, refusal: Decisions.Refusals.Refusal, status?: number): void {
     this.parts.metrics.count('request.refused', { kind: refusal.kind })
-    Exchanges.send(inbound, Problem.problemFor(refusal))
+    Exchanges.send(inbound, Problem.problemFor(Arrivals.mayHaveRunBefore(inbound.request) ? { ...refusal, outcome: 'unknown' } : refusal, status))
+  }
+
+  private occupy (socket: Net.Socket, change: number): void {
+    this.busy.set(socket, (this.busy.get(socket) ?? 0) + change)
   }
 
   private admit (inbound: Exchanges.Inbound, heading: Arrivals.Heading, policy: Decisions.Policies.Policy, body: Bodies.Body, startedAt: number): void {
--- a/packages/node/src/server.ts
+++ b/packages/node/src/server.ts
@@ -20,7 +20,6 @@
 const CONTROL_BODY_BYTES = 33_554_432
 const STATUS_TIMEOUT = 408
 const STATUS_HEADERS_TOO_LARGE = 431
-const STATUS_EXPECTATION_FAILED = 417
 
 interface Parts extends Own.Parts {
   readonly gateway: Gateways.Gateway
@@ -47,9 +46,8 @@
     })
     void this.app.register(instance => { Own.register(instance, parts) }, { prefix: Own.PREFIX })
     void this.app.register(instance => { this.registerProxy(instance) })
-    this.app.server.on('checkExpectation', (_request, response: Http.ServerResponse) => {
-      const problem = Problem.problemFor(Decisions.Refusals.notRun('request-malformed', 'Only the expectation 100-continue is supported.'), STATUS_EXPECTATION_FAILED)
-      response.writeHead(problem.status, problem.headers).end(problem.body)
+    this.app.server.on('checkExpectation', (request: Http.IncomingMessage, response: Http.ServerResponse) => {
+      this.parts.gateway.refuseExpectation(request, response)
     })
   }
 
@@ -88,7 +86,7 @@
   private refuseMalformed (error: Fastify.ConnectionError, socket: Net.Socket): void {
     this.parts.metrics.count('request.malformed', { code: error.code })
     this.parts.logger.debug({ code: error.code, peer: socket.remoteAddress }, 'request could not be read')
-    if (!socket.writable || error.code === 'ECONNRESET' || socket.bytesWritten > 0) {
+    if (!socket.writable || error.code === 'ECONNRESET' || this.parts.gateway.isBusy(socket)) {
       socket.destroy()
       return
     }
