--- a/packages/node/src/observation/status.ts
+++ b/packages/node/src/observation/status.ts
@@ -21,6 +21,11 @@
   return new Date(at).toISOString()
 }
 
+function processorTime (): number {
+  const { user, system } = process.cpuUsage()
+  return user + system
+}
+
 export class Status {
   private readonly parts: Parts
 
@@ -37,8 +42,11 @@
       dataCenter: identity.dataCenter,
       region: identity.region,
       incarnation: identity.incarnation,
+      /** Whether callers are served; a node that does not know the configuration yet refuses them. */
+      ready: board.configuration.settled,
       configuration: { version: board.configuration.current.version, publication: board.configuration.current.publication },
       stale: this.stale(),
+      process: { processorMicroseconds: processorTime(), residentBytes: process.memoryUsage.rss() },
       requestsOpen: gateway.open,
       connectionPools: pools.size,
       members: [...board.members.byNode.values()].map(member => ({ ...member, stateSince: instant(member.stateSince) })),
