test(burn): settle the engine under test

Cause: since a node refuses callers until its configuration is known, the burn tests' engine, which has no log, refused every request of the first 3 s. Ruled out: a shorter limit; the limit is the node's protection. Change: the tests mark the configuration as settled, as the other fakes do.

--- a/packages/decisions/tests/burn/report.test.ts
+++ b/packages/decisions/tests/burn/report.test.ts
@@ -12,7 +12,10 @@
   const identity = {
     node: NODE, address: Ids.endpoint('127.0.0.1:1'), dataCenter: Ids.dataCenter('burnaby-a'), region: Ids.region('lower-mainland'), incarnation: Ids.incarnation(1), seeds: []
   }
-  return new Decisions.Engines.Engine({ identity, seed: 1 })
+  const created = new Decisions.Engines.Engine({ identity, seed: 1 })
+  // Without a log the engine would refuse callers for its first 3 s.
+  created.board.configuration.settled = true
+  return created
 }
 
 function arrival (id: string, method = 'GET'): Decisions.Events.RequestArrived {
