feat(detection): weigh evidence about local targets

The design asks for a sequential test per target on real work, requests in flight and probes, against the baseline of the service's other targets.

The engine raises attempt-dispatched when a controller emits dispatch: section requests knows when an attempt was placed, not when it left the admission queue, and queueing time is no evidence against a target. Ruled out: one sum for errors and slowness, because normal answers between errors cancel them (a 20 % error rate drifts downwards).

--- a/packages/decisions/src/core/engine.ts
+++ b/packages/decisions/src/core/engine.ts
@@ -40,6 +40,11 @@
   ]
 }
 
+/** Admission may hold an attempt in its queue, so only the command tells when work on a target begins. */
+function dispatched (command: Commands.Dispatch): Events.AttemptDispatched {
+  return { kind: 'attempt-dispatched', request: command.request, attempt: command.attempt, target: command.target }
+}
+
 export class Engine {
   readonly board: Blackboards.Blackboard
   private readonly controllers = controllers()
@@ -76,7 +81,10 @@
       board,
       now,
       random,
-      emit: command => { commands.push(command) },
+      emit: command => {
+        commands.push(command)
+        if (command.kind === 'dispatch') pending.push(dispatched(command))
+      },
       raise: event => { pending.push(event) },
       record: (entry: Omit<Entries.Entry, 'at'>) => { board.journal.add({ at: now, ...entry }) },
       freshId: () => this.freshId()
--- a/packages/decisions/src/core/event.ts
+++ b/packages/decisions/src/core/event.ts
@@ -170,6 +170,14 @@
   readonly target: Ids.TargetId
 }
 
+/** Internal: a controller emitted `dispatch`; the engine raises this so that the start of work is known. */
+export interface AttemptDispatched {
+  readonly kind: 'attempt-dispatched'
+  readonly request: Ids.RequestId
+  readonly attempt: Ids.AttemptId
+  readonly target: Ids.TargetId
+}
+
 /** Internal: this node's admission refused an attempt before dispatch. */
 export interface AttemptRefused {
   readonly kind: 'attempt-refused'
@@ -215,7 +223,7 @@
   | AppendFinished | DrainRequested
 
 export type InternalEvent =
-  | RequestCleared | PlacementWanted | AdmissionWanted | AttemptRefused | PlacementFailed
+  | RequestCleared | PlacementWanted | AdmissionWanted | AttemptDispatched | AttemptRefused | PlacementFailed
   | EjectionWanted | TargetCrashed | MemberChanged | ConfigurationChanged
 
 export type Event = ExternalEvent | InternalEvent
--- /dev/null
+++ b/packages/decisions/src/detection/consecutive-errors.ts
@@ -0,0 +1,33 @@
+/** Simplest decider: a number of errors in a row. Kept for comparison; it does not see slowness. */
+import * as Deciders from './decider.js'
+
+const ERRORS_IN_A_ROW = 5
+
+export class ConsecutiveErrors extends Deciders.Decider {
+  private errors = 0
+
+  override observe (sample: Deciders.Sample): void {
+    if (sample.outcome === 'answered') this.errors = 0
+    if (sample.outcome === 'failed') this.errors += 1
+  }
+
+  override probed (): void {
+    // Probes are not real work and reset nothing.
+  }
+
+  override waive (): void {
+    // Attempts in flight contribute nothing.
+  }
+
+  override abandon (): void {
+    // Attempts in flight contribute nothing.
+  }
+
+  override score (threshold: number): number {
+    return threshold * this.errors / ERRORS_IN_A_ROW
+  }
+
+  override reset (): void {
+    this.errors = 0
+  }
+}
--- a/packages/decisions/src/detection/evidence.ts
+++ b/packages/decisions/src/detection/evidence.ts
@@ -1,9 +1,10 @@
 /** Section `evidence`: what this node knows about the health of targets. Written by Detection. */
 import type * as Clock from '../core/clock.js'
 import type * as Ids from '../core/ids.js'
+import type * as ServiceViews from './service-view.js'
 
 export interface TargetEvidence {
-  /** Cumulative log-likelihood ratio in nats that the target is unhealthy. */
+  /** Evidence in nats that the target is unhealthy; ejection is wanted at `ejection-evidence`. */
   readonly score: number
   /** Moving average of the service time, in ms. */
   readonly latency: Clock.Milliseconds
@@ -16,6 +17,8 @@
   readonly local = new Map<Ids.TargetId, TargetEvidence>()
   /** Targets elsewhere, as seen by this node as an entry. */
   readonly remote = new Map<Ids.TargetId, TargetEvidence>()
+  /** Outcomes of this node's own attempts as an entry, the source of the baselines it sends. */
+  readonly services = new Map<Ids.Service, ServiceViews.ServiceView>()
 
   get (target: Ids.TargetId): TargetEvidence | undefined {
     return this.local.get(target) ?? this.remote.get(target)
