--- a/packages/decisions/src/ejection/ejections.ts
+++ b/packages/decisions/src/ejection/ejections.ts
@@ -2,9 +2,12 @@
 import type * as Clock from '../core/clock.js'
 import type * as Ids from '../core/ids.js'
 
-/** Where a target of this node stands. `weight` in (0, 1] scales its share of work during the return. */
+/**
+ * Where a target of this node stands. `weight` in (0, 1] scales its share of work during the return;
+ * while `trickle` is set, only idempotent work should be sent.
+ */
 export type Standing =
-  | { readonly kind: 'in-service', readonly weight: number }
+  | { readonly kind: 'in-service', readonly weight: number, readonly trickle?: boolean }
   | { readonly kind: 'ejected', readonly since: Clock.Milliseconds, readonly until: Clock.Milliseconds, readonly evidence: string }
 
 export class Ejections {
--- /dev/null
+++ b/packages/decisions/tests/support/fleet.ts
@@ -0,0 +1,215 @@
+/** Ejection controllers of several nodes on an in-memory network and a virtual clock. */
+import * as Decisions from '@jasminedale/decisions'
+import * as Ejections from '../../src/ejection/ejection.js'
+import type * as Guards from '../../src/ejection/guard.js'
+
+const { milliseconds } = Decisions.Clock
+const TICK = 100
+/** A node ejects nothing in its first 12 s; the idle time before that is skipped. */
+export const SETTLED = 13_000
+export const SERVICE = Decisions.Ids.service('accounts')
+
+export interface Network {
+  /** Probability that a message is lost or duplicated. */
+  readonly loss: number
+  readonly duplication: number
+  /** Largest delay in ms; the delay of each message is uniform below it. */
+  readonly delay: number
+}
+
+export interface Options {
+  readonly guard?: Guards.Guard
+  readonly regions?: number
+  readonly floor?: number
+}
+
+interface Due { readonly at: number, readonly order: number, readonly run: () => void }
+
+export class FleetNode {
+  board: Decisions.Blackboards.Blackboard
+  pausedUntil = 0
+  private controller: Ejections.Ejection
+  private identifiers = 0
+
+  constructor (readonly id: Decisions.Ids.NodeId, region: string, private readonly fleet: Fleet, private incarnation = 1) {
+    this.board = this.emptyBoard(region)
+    this.controller = new Ejections.Ejection(fleet.options.guard)
+  }
+
+  /** Forgets everything but the tables that gossip brings back at once. */
+  restart (): void {
+    const { members, targets, identity } = this.board
+    this.incarnation += 1
+    this.board = this.emptyBoard(identity.region)
+    for (const [id, member] of members.byNode) this.board.members.byNode.set(id, member)
+    for (const target of targets.byId.values()) this.board.targets.put(target)
+    this.controller = new Ejections.Ejection(this.fleet.options.guard)
+  }
+
+  handle (event: Decisions.Events.Event): void {
+    const pending = [event]
+    const turn: Decisions.Controllers.Turn = {
+      board: this.board,
+      now: milliseconds(this.fleet.now),
+      random: this.fleet.random,
+      emit: command => { if (command.kind === 'send') this.fleet.carry(this, command) },
+      raise: raised => { pending.push(raised) },
+      record: entry => { this.board.journal.add({ at: milliseconds(this.fleet.now), ...entry }) },
+      freshId: () => `${this.id}.${this.incarnation}.${this.identifiers++}`
+    }
+    for (let next = pending.shift(); next !== undefined; next = pending.shift()) this.controller.react(next, turn)
+    this.fleet.watch?.()
+  }
+
+  private emptyBoard (region: string): Decisions.Blackboards.Blackboard {
+    const board = new Decisions.Blackboards.Blackboard({
+      node: this.id,
+      address: Decisions.Ids.endpoint(`${this.id}:1`),
+      dataCenter: Decisions.Ids.dataCenter(`${region}-a`),
+      region: Decisions.Ids.region(region),
+      incarnation: Decisions.Ids.incarnation(this.incarnation),
+      seeds: []
+    })
+    const { defaults } = board.configuration.current
+    const capacityFloor = this.fleet.options.floor ?? defaults.capacityFloor
+    // Longer than a lease, so that ejections last only by renewal.
+    const ejectionHold = Decisions.Clock.minutes(1)
+    board.configuration.current = { ...board.configuration.current, defaults: { ...defaults, capacityFloor, ejectionHold } }
+    return board
+  }
+}
+
+export class Fleet {
+  now = 0
+  readonly nodes: FleetNode[] = []
+  readonly targets: Decisions.Ids.TargetId[] = []
+  readonly random: Decisions.Random.Random
+  /** Links `FROM>TO` that carry nothing. */
+  readonly cut = new Set<string>()
+  /** Called after each step of a node. */
+  watch: (() => void) | undefined
+  private readonly hosts = new Map<Decisions.Ids.TargetId, FleetNode>()
+  private readonly due: Due[] = []
+  private order = 0
+
+  constructor (nodes: number, perNode: number, seed: number, private readonly network: Network, readonly options: Options = {}) {
+    this.random = new Decisions.Random.Random(seed)
+    for (let index = 0; index < nodes; index++) {
+      const node = new FleetNode(Decisions.Ids.nodeId(`n${index}`), `r${index % (options.regions ?? 2)}`, this)
+      this.nodes.push(node)
+      for (let slot = 0; slot < perNode; slot++) {
+        const target = Decisions.Ids.targetId(`t${index}-${slot}`)
+        this.targets.push(target)
+        this.hosts.set(target, node)
+      }
+    }
+    for (const node of this.nodes) {
+      this.introduce(node)
+      node.handle({ kind: 'tick' })
+      this.tickLater(node, SETTLED - TICK + this.random.below(TICK))
+    }
+  }
+
+  hostOf (target: Decisions.Ids.TargetId): FleetNode {
+    const node = this.hosts.get(target)
+    if (node === undefined) throw new Error(`unknown target ${target}`)
+    return node
+  }
+
+  /** Sets the evidence of a target as Detection would publish it. */
+  suspect (target: Decisions.Ids.TargetId, score = 20): void {
+    this.hostOf(target).board.evidence.local.set(target, { score, latency: milliseconds(50), errorRate: 0, samples: 10 })
+  }
+
+  /**
+   * Targets that ejection keeps out of service. A paused host applies nothing, and the lease of its ejection
+   * is checked before the first event after the pause, so its own record says nothing meanwhile.
+   */
+  ejected (): Decisions.Ids.TargetId[] {
+    const working = this.nodes.filter(node => this.now >= node.pausedUntil)
+    return working.flatMap(node => [...node.board.ejections.local].filter(([, standing]) => standing.kind === 'ejected').map(([target]) => target))
+  }
+
+  carry (from: FleetNode, command: Decisions.Commands.Send): void {
+    const copies = this.random.fraction() < this.network.duplication ? 2 : 1
+    const text = JSON.stringify(command.message)
+    const to = this.nodes.find(node => node.id === command.to)
+    if (to === undefined) return
+    for (let copy = 0; copy < copies; copy++) {
+      if (this.random.fraction() < this.network.loss || this.cut.has(`${from.id}>${to.id}`)) continue
+      this.later(1 + this.random.fraction() * this.network.delay, () => { this.deliver(from, to, text) })
+    }
+  }
+
+  later (delay: number, run: () => void): void {
+    const entry = { at: this.now + delay, order: this.order++, run }
+    let low = 0
+    let high = this.due.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      const other = this.due[middle]
+      if (other !== undefined && (other.at > entry.at || (other.at === entry.at && other.order > entry.order))) low = middle + 1
+      else high = middle
+    }
+    this.due.splice(low, 0, entry)
+  }
+
+  run (until: number): void {
+    for (let next = this.due.at(-1); next !== undefined && next.at <= until; next = this.due.at(-1)) {
+      this.due.pop()
+      this.now = next.at
+      next.run()
+    }
+    this.now = until
+  }
+
+  private deliver (from: FleetNode, to: FleetNode, text: string): void {
+    if (this.now < to.pausedUntil) {
+      this.later(to.pausedUntil - this.now, () => { this.deliver(from, to, text) })
+      return
+    }
+    const message = Decisions.Messages.messageSchema.parse(JSON.parse(text))
+    to.handle({ kind: 'message-received', from: from.id, address: from.board.identity.address, message })
+  }
+
+  private tickLater (node: FleetNode, delay: number): void {
+    this.later(delay, () => {
+      if (this.now < node.pausedUntil) {
+        this.tickLater(node, node.pausedUntil - this.now + TICK / 2)
+        return
+      }
+      node.handle({ kind: 'tick' })
+      for (const target of node.board.evidence.local.keys()) this.raise(node, target)
+      this.tickLater(node, TICK)
+    })
+  }
+
+  private raise (node: FleetNode, target: Decisions.Ids.TargetId): void {
+    const score = node.board.evidence.local.get(target)?.score ?? 0
+    if (score >= 14 && node.board.ejections.standing(target).kind === 'in-service') {
+      node.handle({ kind: 'ejection-wanted', target, evidence: 'test' })
+    }
+  }
+
+  /** Puts every node and target into the tables of `node`. */
+  private introduce (node: FleetNode): void {
+    for (const other of this.nodes) this.link(node, other)
+  }
+
+  private link (node: FleetNode, other: FleetNode): void {
+    const { identity } = other.board
+    node.board.members.byNode.set(other.id, {
+      node: other.id, address: identity.address, dataCenter: identity.dataCenter, region: identity.region,
+      incarnation: identity.incarnation, state: 'alive', stateSince: milliseconds(0), configuration: Decisions.Ids.version(0)
+    })
+    for (const target of this.targets) if (this.hostOf(target) === other) node.board.targets.put(this.record(target, other))
+  }
+
+  private record (target: Decisions.Ids.TargetId, host: FleetNode): Parameters<FleetNode['board']['targets']['put']>[0] {
+    const { identity } = host.board
+    return {
+      target, service: SERVICE, host: host.id, dataCenter: identity.dataCenter, region: identity.region,
+      slots: 4, incarnation: Decisions.Ids.incarnation(1), state: 'serving', announcedAt: milliseconds(-60_000), load: 0
+    }
+  }
+}
