--- a/packages/decisions/src/core/engine.ts
+++ b/packages/decisions/src/core/engine.ts
@@ -7,6 +7,7 @@
 import * as Directory from '../membership/directory.js'
 import * as Membership from '../membership/membership.js'
 import * as Ownership from '../ownership/ownership.js'
+import * as Parsers from '../publication/parser.js'
 import * as Publication from '../publication/publication.js'
 import * as Quarantine from '../quarantine/quarantine.js'
 import * as Routing from '../routing/routing.js'
@@ -22,14 +23,16 @@
   readonly identity: Identities.Identity
   /** Seed of every random choice. */
   readonly seed: number
+  /** Reads published texts; without it no publication is accepted. */
+  readonly parseConfiguration?: Parsers.ParseConfiguration
 }
 
 /** Order matters: sections that others read are updated first. */
-function controllers (): readonly Controllers.Controller[] {
+function controllers (parse: Parsers.ParseConfiguration): readonly Controllers.Controller[] {
   return [
     new Membership.Membership(),
     new Directory.Directory(),
-    new Publication.Publication(),
+    new Publication.Publication(parse),
     new Quarantine.Quarantine(),
     new Detection.Detection(),
     new Ejection.Ejection(),
@@ -40,18 +43,27 @@
   ]
 }
 
-/** Admission may hold an attempt in its queue, so only the command tells when work on a target begins. */
-function dispatched (command: Commands.Dispatch): Events.AttemptDispatched {
-  return { kind: 'attempt-dispatched', request: command.request, attempt: command.attempt, target: command.target }
+/**
+ * Every controller may answer a request, and admission may hold an attempt in its queue; only the command
+ * tells the others that a request is over or that work on a target begins.
+ */
+function announced (command: Commands.Command): Events.RequestAnswered | Events.AttemptDispatched | undefined {
+  switch (command.kind) {
+    case 'refuse': return { kind: 'request-answered', request: command.request, answer: command.refusal }
+    case 'replay': return { kind: 'request-answered', request: command.request, answer: { kind: 'replayed', status: command.status } }
+    case 'dispatch': return { kind: 'attempt-dispatched', request: command.request, attempt: command.attempt, target: command.target }
+    default: return undefined
+  }
 }
 
 export class Engine {
   readonly board: Blackboards.Blackboard
-  private readonly controllers = controllers()
+  private readonly controllers: readonly Controllers.Controller[]
   private readonly random: Random.Random
   private identifiers = 0
 
   constructor (private readonly options: EngineOptions) {
+    this.controllers = controllers(options.parseConfiguration ?? Parsers.REJECT_ALL)
     this.board = new Blackboards.Blackboard(options.identity)
     this.random = new Random.Random(options.seed)
   }
@@ -83,7 +95,8 @@
       random,
       emit: command => {
         commands.push(command)
-        if (command.kind === 'dispatch') pending.push(dispatched(command))
+        const event = announced(command)
+        if (event !== undefined) pending.push(event)
       },
       raise: event => { pending.push(event) },
       record: (entry: Omit<Entries.Entry, 'at'>) => { board.journal.add({ at: now, ...entry }) },
--- a/packages/decisions/src/detection/accumulator.ts
+++ b/packages/decisions/src/detection/accumulator.ts
@@ -37,6 +37,11 @@
     this.sum = Math.max(0, this.sum + increment)
   }
 
+  /** Lowers the sum to `limit`, so that it falls quickly once the baseline has caught up. */
+  cap (limit: number): void {
+    this.sum = Math.min(this.sum, limit)
+  }
+
   reset (): void {
     this.sum = 0
     this.provisional.clear()
--- a/packages/decisions/src/detection/evidence.ts
+++ b/packages/decisions/src/detection/evidence.ts
@@ -10,6 +10,8 @@
   readonly latency: Clock.Milliseconds
   readonly errorRate: number
   readonly samples: number
+  /** When real work last ended; absent before the first. */
+  readonly lastWork?: Clock.Milliseconds
 }
 
 export class Evidence {
--- a/packages/decisions/src/detection/likelihood.ts
+++ b/packages/decisions/src/detection/likelihood.ts
@@ -3,7 +3,7 @@
 import * as Gaussian from './gaussian.js'
 
 /** The smallest slowness that the goals name: three-fold. */
-const SLOWNESS_SHIFT = Math.log(3)
+export const SLOWNESS_SHIFT = Math.log(3)
 /** Fraction of healthy outcomes that a failing target turns into errors, at least. */
 const FAILING_FRACTION = 0.25
 /** Timer resolution and connection effects spread even constant service times. */
--- a/packages/decisions/src/detection/service-view.ts
+++ b/packages/decisions/src/detection/service-view.ts
@@ -4,10 +4,10 @@
 import type * as Ids from '../core/ids.js'
 
 /**
- * The window is the longer of 64 samples and 1 s. It has to move as fast as the evidence does:
+ * The window is the longer of 32 samples and 1 s. It has to move as fast as the evidence does:
  * a slowness that all targets share must reach the baseline before one target's test ends.
  */
-const WINDOW_SAMPLES = 64
+const WINDOW_SAMPLES = 32
 const WINDOW_MILLISECONDS = 1_000
 /** Samples beyond this many deviations are pulled in, so that one bad target widens the baseline little. */
 const OUTLIER_DEVIATIONS = 3
--- a/packages/decisions/src/detection/subject.ts
+++ b/packages/decisions/src/detection/subject.ts
@@ -69,7 +69,8 @@
       score: this.decider.score(threshold),
       latency: Clock.milliseconds(this.latency),
       errorRate: this.errorRate,
-      samples: this.samples
+      samples: this.samples,
+      ...(this.lastWork === undefined ? {} : { lastWork: this.lastWork })
     }
   }
 
--- a/packages/decisions/src/ejection/claim.ts
+++ b/packages/decisions/src/ejection/claim.ts
@@ -27,6 +27,10 @@
 
 /** Rounds older than this cannot bring a usable lease any more. */
 const ROUNDS_KEPT = 128
+/** With this share of the working targets under evidence, and at least so many, the cause is shared. */
+const SHARED_SHARE = 1 / 3
+const SHARED_MINIMUM = 2
+
 const NEVER = Clock.milliseconds(Number.NEGATIVE_INFINITY)
 
 export class Claim {
@@ -34,6 +38,8 @@
   /** Promisers that asked to be released. */
   readonly wantedBack = new Set<Ids.TargetId>()
   readonly refusals = new Map<Ids.TargetId, string>()
+  /** What working targets said of themselves: true when under evidence. */
+  readonly votes = new Map<Ids.TargetId, boolean>()
   readonly released = new Map<Ids.TargetId, number>()
   readonly sentAt = new Map<number, Clock.Milliseconds>()
   round = 0
@@ -73,6 +79,12 @@
     }
   }
 
+  /** Whether so many other targets are suspect that ejecting this one would not help. */
+  isShared (): boolean {
+    const suspect = [...this.votes.values()].filter(vote => vote).length
+    return suspect >= SHARED_MINIMUM && suspect > SHARED_SHARE * this.votes.size
+  }
+
   /** Instant until which either rule is met; in the past or minus infinity when none is. */
   sufficientUntil (without?: Ids.TargetId): Clock.Milliseconds {
     const needs = this.needs()
--- a/packages/decisions/src/ejection/claimant.ts
+++ b/packages/decisions/src/ejection/claimant.ts
@@ -77,7 +77,9 @@
       claim.held.set(promiser, { node: from, region, until: this.guard.leaseUntil(sentAt), round, count, floor })
       claim.refusals.delete(promiser)
     }
+    for (const promiser of granted) if (!message.idle.includes(promiser)) claim.votes.set(promiser, false)
     for (const { target, reason } of message.refused) {
+      if (reason === 'under-evidence') claim.votes.set(target, true)
       claim.refusals.set(target, reason)
       if (claim.held.has(target)) claim.wantedBack.add(target)
     }
@@ -163,7 +165,7 @@
     claim.goodUntil = claim.sufficientUntil()
     const sufficient = this.guard.isCurrent(claim.goodUntil, turn.now)
     if (claim.since === undefined) {
-      if (!sufficient || this.promiser.isBound(claim.subject.target, turn.now)) return
+      if (!sufficient || claim.isShared() || this.promiser.isBound(claim.subject.target, turn.now)) return
       this.eject(claim, turn)
     } else if (!sufficient) {
       this.fallShort(claim, turn)
--- a/packages/decisions/src/ejection/ejections.ts
+++ b/packages/decisions/src/ejection/ejections.ts
@@ -2,12 +2,9 @@
 import type * as Clock from '../core/clock.js'
 import type * as Ids from '../core/ids.js'
 
-/**
- * Where a target of this node stands. `weight` in (0, 1] scales its share of work during the return;
- * while `trickle` is set, only idempotent work should be sent.
- */
+/** Where a target of this node stands. `weight` in (0, 1] scales its share of work during the return. */
 export type Standing =
-  | { readonly kind: 'in-service', readonly weight: number, readonly trickle?: boolean }
+  | { readonly kind: 'in-service', readonly weight: number }
   | { readonly kind: 'ejected', readonly since: Clock.Milliseconds, readonly until: Clock.Milliseconds, readonly evidence: string }
 
 export class Ejections {
--- a/packages/decisions/src/ejection/message.ts
+++ b/packages/decisions/src/ejection/message.ts
@@ -25,6 +25,8 @@
   target,
   round,
   granted: zod.array(target),
+  /** Granted promisers that have had no work lately, so that their health says nothing about a shared cause. */
+  idle: zod.array(target),
   refused: zod.array(zod.object({ target, reason: zod.enum(['unknown', 'not-in-service', 'under-evidence']) })),
   /** Targets of the service, and of the claimed target's region, that the sender knows. */
   serviceCount: count,
--- a/packages/decisions/src/ejection/promiser.ts
+++ b/packages/decisions/src/ejection/promiser.ts
@@ -13,6 +13,9 @@
  */
 const SUSPECT_SHARE = 1 / 3
 
+/** A target without work for this long has no say on whether a trouble is shared. */
+const IDLE_MILLISECONDS = 60_000
+
 interface Promise {
   readonly node: Ids.NodeId
   readonly target: Ids.TargetId
@@ -52,8 +55,9 @@
     const { claim, target, round, service, region } = message
     const count = this.census.count(service, region, turn.board.targets, turn.now)
     const floor = turn.board.configuration.policyFor({ service }, turn.now).capacityFloor
+    const idle = granted.filter(promiser => isIdle(promiser, turn))
     const counts = { serviceCount: count.service, regionCount: count.region, floor }
-    this.post.send(from, { kind: 'promise-reply', claim, target, round, granted, refused, ...counts }, turn)
+    this.post.send(from, { kind: 'promise-reply', claim, target, round, granted, idle, refused, ...counts }, turn)
   }
 
   released (message: Messages.PromiseRelease): void {
@@ -106,3 +110,8 @@
   const score = board.evidence.local.get(promiser)?.score ?? 0
   return score >= SUSPECT_SHARE * ejectionEvidence ? 'under-evidence' : undefined
 }
+
+function isIdle (promiser: Ids.TargetId, turn: Controllers.Turn): boolean {
+  const lastWork = turn.board.evidence.local.get(promiser)?.lastWork
+  return lastWork === undefined || turn.now - lastWork > IDLE_MILLISECONDS
+}
--- a/packages/decisions/src/ejection/returns.ts
+++ b/packages/decisions/src/ejection/returns.ts
@@ -42,7 +42,7 @@
     this.repeats.set(target, { count: count + 1, at: turn.now })
     const samples = turn.board.evidence.local.get(target)?.samples ?? 0
     this.inProgress.set(target, { since: turn.now, samples, rampFrom: undefined })
-    turn.board.ejections.local.set(target, { kind: 'in-service', weight: TRICKLE_WEIGHT, trickle: true })
+    turn.board.ejections.local.set(target, { kind: 'in-service', weight: TRICKLE_WEIGHT })
   }
 
   /** Ends the return, because the target was ejected again, left, or restarted. */
--- a/packages/decisions/tests/support/fleet.ts
+++ b/packages/decisions/tests/support/fleet.ts
@@ -7,6 +7,7 @@
 const TICK = 100
 /** A node ejects nothing in its first 12 s; the idle time before that is skipped. */
 export const SETTLED = 13_000
+const ALWAYS_WORKING = 1_000_000
 export const SERVICE = Decisions.Ids.service('accounts')
 
 export interface Network {
@@ -103,6 +104,7 @@
         this.hosts.set(target, node)
       }
     }
+    for (const target of this.targets) this.suspect(target, 0)
     for (const node of this.nodes) {
       this.introduce(node)
       node.handle({ kind: 'tick' })
@@ -118,7 +120,8 @@
 
   /** Sets the evidence of a target as Detection would publish it. */
   suspect (target: Decisions.Ids.TargetId, score = 20): void {
-    this.hostOf(target).board.evidence.local.set(target, { score, latency: milliseconds(50), errorRate: 0, samples: 10 })
+    const working = { latency: milliseconds(50), errorRate: 0, samples: 10, lastWork: milliseconds(ALWAYS_WORKING) }
+    this.hostOf(target).board.evidence.local.set(target, { score, ...working })
   }
 
   /**
