--- a/packages/decisions/src/publication/configurations.ts
+++ b/packages/decisions/src/publication/configurations.ts
@@ -6,6 +6,11 @@
 
 export class Configurations {
   current: Policies.Configuration = DefaultPolicy.INITIAL_CONFIGURATION
+  /**
+   * A version came into force, the log showed that there is none, or nobody answered for 3 s.
+   * Until then the node takes no requests from callers, because it would treat them by settings that were replaced.
+   */
+  settled = false
   /** The published text of `current`. */
   text = ''
   /** When `current` came into force on this node. */
@@ -16,7 +21,10 @@
   behindSince: Clock.Milliseconds | undefined
   /** Nodes of this data center that read the log. */
   readers: readonly Ids.NodeId[] = []
-  /** Since when reads of the log fail; undefined when they succeed or when this node is not a reader. */
+  /**
+   * Since when the readers of this data center cannot read the log; undefined when they can.
+   * Nodes that do not read themselves learn it by gossip, after 5 s at the earliest.
+   */
   logUnavailableSince: Clock.Milliseconds | undefined
 
   /** Policy for a request or, with only a service, for a target. */
