--- a/packages/decisions/src/core/event.ts
+++ b/packages/decisions/src/core/event.ts
@@ -172,6 +172,14 @@
   readonly target: Ids.TargetId
 }
 
+/** Internal: a controller emitted `dispatch`; the engine raises this so that the start of work is known. */
+export interface AttemptDispatched {
+  readonly kind: 'attempt-dispatched'
+  readonly request: Ids.RequestId
+  readonly attempt: Ids.AttemptId
+  readonly target: Ids.TargetId
+}
+
 /** Internal: this node's admission refused an attempt before dispatch. */
 export interface AttemptRefused {
   readonly kind: 'attempt-refused'
@@ -263,7 +271,7 @@
   | AppendFinished | DrainRequested
 
 export type InternalEvent =
-  | RequestCleared | PlacementWanted | AdmissionWanted | AttemptRefused | PlacementFailed
+  | RequestCleared | PlacementWanted | AdmissionWanted | AttemptDispatched | AttemptRefused | PlacementFailed
   | AttemptWithdrawn | RequestAnswered | RequestEnded | EjectionWanted | TargetCrashed | MemberChanged
   | ConfigurationChanged | GossipWanted | TargetGone
 
