--- a/packages/decisions/src/membership/directory.ts
+++ b/packages/decisions/src/membership/directory.ts
@@ -79,7 +79,7 @@
     const { news, gone } = complete === undefined ? { news: record.apply(targets), gone: [] } : record.replace(complete, targets)
     for (const target of gone) removeFrom(host, target, turn)
     for (const change of news) this.put(host, change, turn)
-    if (news.length > 0 || gone.length > 0) this.index(host, turn)
+    this.index(host, turn)
     return news.length > 0
   }
 
@@ -130,6 +130,8 @@
       this.forget(host, turn)
       return
     }
+    // A restarted host that has no targets any more sends no change that would say so.
+    if (record !== undefined && record.incarnation < member.incarnation) this.recordFor(host, member.incarnation, turn)
     for (const target of record?.sequences.keys() ?? []) {
       const known = turn.board.targets.get(target)
       const { dataCenter, region } = member
--- a/packages/decisions/src/membership/failure-detector.ts
+++ b/packages/decisions/src/membership/failure-detector.ts
@@ -15,8 +15,8 @@
 const INDIRECT_HELPERS = 3
 /** Helpers for probes beside the periodic one; many of these may be under way at once. */
 const EXTRA_HELPERS = 1
-/** Direct probes in a row that must fail before a member counts as unanswered; one may be plain loss. */
-const UNANSWERED_FAILURES = 2
+/** Direct probes in a row that must fail before a member counts as unanswered; with 5 % loss, 1 in 1,000 does so by chance. */
+const UNANSWERED_FAILURES = 3
 /** Unanswered members that are probed again each second. */
 const RETRIES_LIMIT = 2
 const SEQUENCE_LIMIT = 0x3fffffff
--- a/packages/decisions/src/membership/local-targets.ts
+++ b/packages/decisions/src/membership/local-targets.ts
@@ -28,6 +28,9 @@
   /** Handles one event; returns whether the node's record changed. */
   react (event: Events.Event, turn: Controllers.Turn): boolean {
     const before = this.sequence
+    // A host without targets has a record too, which tells the others that there are none.
+    const created = event.kind === 'tick' && !this.table.records.has(turn.board.identity.node)
+    if (created) this.record(turn)
     switch (event.kind) {
       case 'target-announced': this.announce(event, turn); break
       case 'target-leaving': this.leave(event.target, turn); break
@@ -36,7 +39,7 @@
       case 'tick': this.tick(turn); break
       default: break
     }
-    return this.sequence !== before
+    return created || this.sequence !== before
   }
 
   private announce (event: Events.TargetAnnounced, turn: Controllers.Turn): void {
@@ -94,17 +97,21 @@
   }
 
   private change (target: Targets.Target, state: Messages.TargetChange[5], turn: Controllers.Turn): void {
-    const { node, incarnation } = turn.board.identity
-    const record = this.table.records.get(node) ?? new HostRecords.HostRecord(incarnation)
-    this.table.records.set(node, record)
     this.sequence += 1
     const change: Messages.TargetChange = [this.sequence, target.target, target.service, target.slots, target.incarnation, state, 0]
-    record.apply([change])
+    this.record(turn).apply([change])
     this.pending.push(change)
     if (state === 'serving') this.flushAt ??= Clock.add(turn.now, COLLECTING)
     else this.flush(turn, true)
   }
 
+  private record (turn: Controllers.Turn): HostRecords.HostRecord {
+    const { node, incarnation } = turn.board.identity
+    const record = this.table.records.get(node) ?? new HostRecords.HostRecord(incarnation)
+    this.table.records.set(node, record)
+    return record
+  }
+
   private flush (turn: Controllers.Turn, urgent: boolean): void {
     const { node: host, incarnation } = turn.board.identity
     const pending = this.pending
