--- a/packages/decisions/src/ownership/promises.ts
+++ b/packages/decisions/src/ownership/promises.ts
@@ -64,7 +64,9 @@
    * ever promise. Undefined until a majority of the promises has ended.
    */
   closedAt (): Clock.Milliseconds | undefined {
-    const bounds = this.ended.filter(bound => bound !== 0).sort((left, right) => left - right)
+    // A restarted witness only estimates its earlier promises; a larger one may be known from others.
+    const bounds = this.ended.map((bound, index) => bound === 0 ? 0 : Math.max(bound, this.until[index] ?? 0))
+      .filter(bound => bound !== 0).sort((left, right) => left - right)
     const bound = bounds[this.majority - 1]
     return bound === undefined ? undefined : Clock.milliseconds(bound)
   }
--- a/packages/decisions/src/quarantine/message.ts
+++ b/packages/decisions/src/quarantine/message.ts
@@ -11,7 +11,8 @@
 
 export const rumor = zod.discriminatedUnion('kind', [crash, completion, block])
 
-const rumors = zod.object({ kind: zod.literal('crash-rumors'), rumors: zod.array(rumor) })
+/** `whole`: everything that the sender knows, the answer to a request. */
+const rumors = zod.object({ kind: zod.literal('crash-rumors'), whole: zod.boolean(), rumors: zod.array(rumor) })
 
 /** A node that started asks for what others know. */
 const request = zod.object({ kind: zod.literal('crash-request') })
--- a/packages/decisions/src/quarantine/quarantine.ts
+++ b/packages/decisions/src/quarantine/quarantine.ts
@@ -118,11 +118,11 @@
   private receive (event: Events.MessageReceived, turn: Controllers.Turn): void {
     const { message } = event
     if (message.kind === 'crash-rumors') {
-      this.synchronized = true
+      this.synchronized ||= message.whole
       for (const fact of message.rumors) this.learn(fact, turn)
     }
     if (message.kind !== 'crash-request') return
-    const answer: Messages.QuarantineMessage = { kind: 'crash-rumors', rumors: turn.board.crashes.facts() }
+    const answer: Messages.QuarantineMessage = { kind: 'crash-rumors', whole: true, rumors: turn.board.crashes.facts() }
     turn.emit({ kind: 'send', to: event.from, address: event.address, channel: answer.rumors.length === 0 ? 'datagram' : 'stream', message: answer })
   }
 
--- a/packages/decisions/src/quarantine/rumors.ts
+++ b/packages/decisions/src/quarantine/rumors.ts
@@ -28,7 +28,7 @@
     for (const entry of batch) entry.rounds -= 1
     // Facts take turns, so that a burst does not hold up the last ones.
     this.queue = [...this.queue.slice(batch.length), ...batch.filter(entry => entry.rounds > 0)]
-    const message: Messages.QuarantineMessage = { kind: 'crash-rumors', rumors: batch.map(entry => entry.fact) }
+    const message: Messages.QuarantineMessage = { kind: 'crash-rumors', whole: false, rumors: batch.map(entry => entry.fact) }
     for (let count = 0; count < FANOUT; count += 1) {
       const member = turn.random.pick(members)
       if (member !== undefined) turn.emit({ kind: 'send', to: member.node, address: member.address, channel: 'datagram', message })
--- a/packages/decisions/tests/ownership/fleet.ts
+++ b/packages/decisions/tests/ownership/fleet.ts
@@ -25,6 +25,8 @@
   readonly completes?: number
   /** Whether membership follows crashes by itself; otherwise the test sets what nodes see. */
   readonly detects?: boolean
+  /** All nodes share one view of the members, to save memory in large fleets. */
+  readonly sharesViews?: boolean
 }
 
 interface Slot {
@@ -57,11 +59,14 @@
   readonly deaf = new Set<number>()
   readonly dispatches = new Map<string, number>()
   readonly answers: { readonly key: string, readonly at: number, readonly answer: Answer }[] = []
+  /** Dispatched requests run until the test ends them. */
+  hangs = false
   readonly sent = { messages: 0, bytes: 0, appends: 0 }
   private readonly random: Random.Random
   private readonly calls = new Map<Ids.RequestId, Call>()
   private readonly keys = new Map<Ids.RequestId, { readonly text: string, readonly entry: boolean }>()
   private readonly events: { at: number, order: number, run: () => void }[] = []
+  private readonly running: { readonly index: number, readonly command: Commands.Dispatch }[] = []
   private requests = 0
   private order = 0
 
@@ -100,6 +105,12 @@
   }
 
   private see (): void {
+    if (this.options.sharesViews === true) {
+      const { byNode } = this.slot(0).node.board.members
+      for (const { node } of this.slots) Object.assign(node.board.members, { byNode })
+      for (const subject of this.slots.keys()) this.view(0, subject, 'alive')
+      return
+    }
     for (const viewer of this.slots.keys()) for (const subject of this.slots.keys()) this.view(viewer, subject, 'alive')
   }
 
@@ -169,7 +180,25 @@
     this.deliver(index, { kind: 'tick' })
   }
 
-  /** Sends a keyed request through a node. Content may differ, to test mismatches. */
+  /** Ends the running requests of a node's backend server; at a crash it comes back with a new incarnation. */
+  endRuns (index: number, crashes: boolean): void {
+    const target = Nodes.targetOf(this.slot(index).node.identity.node)
+    for (const { command } of this.running.filter(run => run.index === index)) {
+      this.finish(index, command, crashes ? { kind: 'disconnected', responseStarted: false } : { kind: 'complete', status: 200, bytes: 0 })
+    }
+    this.running.splice(0, this.running.length, ...this.running.filter(run => run.index !== index))
+    if (!crashes) return
+    this.deliver(index, { kind: 'target-gone', target, crashed: true })
+    this.announce(index)
+  }
+
+  announce (index: number): void {
+    const { identity } = this.slot(index).node
+    const incarnation = Ids.incarnation(this.now)
+    this.deliver(index, { kind: 'target-announced', target: Nodes.targetOf(identity.node), service: Ids.service('orders'), address: identity.address, slots: 4, incarnation })
+  }
+
+  /** Sends a request through a node, keyed unless the key is empty. Content may differ, to test mismatches. */
   send (entry: number, key: string, content = 'content'): void {
     const request = Ids.requestId(`r${this.requests++}`)
     this.keys.set(request, { text: key, entry: true })
@@ -178,7 +207,7 @@
 
   private arrival (request: Ids.RequestId, hop: Events.Hop, key: string, content: string): Events.RequestArrived {
     return {
-      kind: 'request-arrived', request, hop, service: Ids.service('orders'), method: 'POST', path: '/', key: Ids.idempotencyKey(key),
+      kind: 'request-arrived', request, hop, service: Ids.service('orders'), method: 'POST', path: '/', ...(key === '' ? {} : { key: Ids.idempotencyKey(key) }),
       signature: Ids.signature(content), replayable: true, earlierAttempts: 0
     }
   }
@@ -248,6 +277,10 @@
   private dispatch (index: number, command: Commands.Dispatch): void {
     const key = this.keys.get(command.request)?.text ?? ''
     this.dispatches.set(key, (this.dispatches.get(key) ?? 0) + 1)
+    if (this.hangs) {
+      this.running.push({ index, command })
+      return
+    }
     const end: Events.AttemptEnd = this.random.fraction() < (this.options.completes ?? 0.8)
       ? { kind: 'complete', status: 200, bytes: 2, body: 'ok' }
       : { kind: 'disconnected', responseStarted: false }
--- a/packages/decisions/tests/ownership/node.ts
+++ b/packages/decisions/tests/ownership/node.ts
@@ -15,7 +15,8 @@
 import type * as Requests from '../../src/routing/requests.js'
 
 const DEADLINE = 10_000
-export const TARGET = Ids.targetId('t')
+/** The only backend server of a node. */
+export const targetOf = (node: Ids.NodeId): Ids.TargetId => Ids.targetId(`t-${node}`)
 
 /** Opens requests, dispatches at once, and refuses a part of them before dispatch. */
 class Placement extends Controllers.Controller {
@@ -53,8 +54,10 @@
       return
     }
     const attempt = Ids.attemptId(turn.freshId())
-    turn.board.requests.get(id)?.attempts.push({ attempt, hop: 'dispatch', target: TARGET, node: turn.board.identity.node, startedAt: turn.now })
-    turn.emit({ kind: 'dispatch', request: id, attempt, target: TARGET, address: Ids.endpoint('127.0.0.1:9'), remaining: DEADLINE as Clock.Milliseconds })
+    const { node } = turn.board.identity
+    const target = targetOf(node)
+    turn.board.requests.get(id)?.attempts.push({ attempt, hop: 'dispatch', target, node, startedAt: turn.now })
+    turn.emit({ kind: 'dispatch', request: id, attempt, target, address: Ids.endpoint('127.0.0.1:9'), remaining: DEADLINE as Clock.Milliseconds })
   }
 }
 
--- a/packages/decisions/tests/ownership/schedule.ts
+++ b/packages/decisions/tests/ownership/schedule.ts
@@ -54,12 +54,23 @@
   for (let viewer = 0; viewer < NODES; viewer += 1) if (viewer !== index) fleet.view(viewer, index, 'dead')
 })
 
+/** One node is cut off, and all others restart without their memory of what they promised to it. */
+const survivor = node.map((index): Operation => fleet => {
+  for (let other = 0; other < NODES; other += 1) {
+    if (other === index) continue
+    fleet.cuts.add(`${index}>${other}`).add(`${other}>${index}`)
+    fleet.restart(other)
+  }
+  fleet.cuts.add(`${index}>log`)
+  for (let viewer = 0; viewer < NODES; viewer += 1) if (viewer !== index) fleet.view(viewer, index, 'dead')
+})
+
 /** Operations weighted so that rosters change often and keys are open when they do. */
 const operation = FastCheck.oneof(
   { weight: 8, arbitrary: sends }, { weight: 7, arbitrary: advance }, { weight: 4, arbitrary: view }, { weight: 1, arbitrary: lone },
   { weight: 1, arbitrary: crash }, { weight: 2, arbitrary: restart }, { weight: 1, arbitrary: pause }, { weight: 1, arbitrary: jump },
   { weight: 1, arbitrary: cut }, { weight: 1, arbitrary: network }, { weight: 1, arbitrary: outage }, { weight: 1, arbitrary: append },
-  { weight: 1, arbitrary: leave }, { weight: 1, arbitrary: deaf }
+  { weight: 1, arbitrary: leave }, { weight: 1, arbitrary: deaf }, { weight: 1, arbitrary: survivor }
 )
 
 export interface Variant { readonly rules?: Parts.Rules, readonly ledger?: (bounds: Ledger.LedgerBounds) => Ledger.Ledger }
