fix(ownership): keep a stopping owner until the next roster

A stopping node ended as soon as no request was in flight, while it still owned the fresh keys of the next 6 s; Membership marks it as left at once, so promises no longer reached it either. Admission now waits for `keys.released`, and promises also go to members that left less than 30 s ago. The last usable node of a region waits for nobody.

Quarantine counts as in flight what Admission dispatched, not what waits in its queues.

--- a/packages/decisions/src/admission/admission.ts
+++ b/packages/decisions/src/admission/admission.ts
@@ -200,7 +200,9 @@
       turn.emit({ kind: 'drained', target, abandoned: lane.running })
     }
     const left = turn.board.requests.byId.size
-    if (this.nodeDrain?.ends(left, turn.now) === true) turn.emit({ kind: 'drained', abandoned: left })
+    // An owner of keys stays until the next roster leaves it out.
+    const owned = turn.board.keys.released ? 0 : 1
+    if (this.nodeDrain?.ends(left + owned, turn.now) === true) turn.emit({ kind: 'drained', abandoned: left })
   }
 
   private tick (turn: Controllers.Turn): void {
--- a/packages/decisions/src/ownership/ownership.ts
+++ b/packages/decisions/src/ownership/ownership.ts
@@ -109,16 +109,18 @@
 
   /**
    * At a planned stop this node asks to be left out of the next roster. It stays the owner
-   * until a roster without it governs new keys and its running keys have ended.
+   * until a roster without it governs new keys and its running keys have ended. The last
+   * usable node of a region has nobody to hand over to.
    */
   private leave (turn: Controllers.Turn): void {
     const { identity, keys } = turn.board
     if (!keys.leaving || keys.released) return
     const roster = keys.rosters.get(identity.region)
     const listed = roster?.members().some(member => member.node === identity.node && member.incarnation === identity.incarnation) ?? false
-    if (!listed) {
+    const isLast = !turn.board.members.usable().some(member => member.region === identity.region && member.node !== identity.node)
+    if (!listed || isLast) {
       const start = roster?.latest.start ?? Infinity
-      keys.released = keys.ledger.runningCount === 0 && (roster === undefined || turn.now >= start + LATE_SENDS)
+      keys.released = keys.ledger.runningCount === 0 && (roster === undefined || isLast || turn.now >= start + LATE_SENDS)
     } else if (roster !== undefined && Math.abs(turn.now - this.leaveAt) >= LEAVE_INTERVAL) {
       this.leaveAt = turn.now
       this.proposing.leaving.add(Standing.name(identity.node, identity.incarnation))
--- a/packages/decisions/src/ownership/spreading.ts
+++ b/packages/decisions/src/ownership/spreading.ts
@@ -2,6 +2,7 @@
 import * as Clock from '../core/clock.js'
 import type * as Controllers from '../core/controller.js'
 import type * as Ids from '../core/ids.js'
+import * as Membership from '../membership/members.js'
 import type * as Members from '../membership/members.js'
 import type * as Messages from './message.js'
 import type * as Roster from './roster.js'
@@ -36,7 +37,7 @@
       `${version} ${start !== undefined} ${index === all.length - 1 ? promises.promisedUntil() : promises.ended.filter(Boolean).length}`).join(',')
     if (this.levels.get(roster.region) === level) return
     this.levels.set(roster.region, level)
-    this.sendTo(others(turn, member => member.region === roster.region), WAVE_FANOUT, Summaries.of(roster, turn.now), turn)
+    this.sendTo(owners(turn), WAVE_FANOUT, Summaries.of(roster, turn.now), turn)
   }
 
   /** A new version, or the start of one, goes to all regions. */
@@ -110,8 +111,16 @@
   }
 }
 
+const LEAVING = Clock.seconds(30)
 const REQUESTS_REMEMBERED = 1_000
 
+/** Members of this region, with those that left a short time ago: they own keys until the next roster starts. */
+function owners (turn: Controllers.Turn): Members.Member[] {
+  const { identity, members } = turn.board
+  return [...members.byNode.values()].filter(member => member.region === identity.region && member.node !== identity.node &&
+    (Membership.isUsable(member) || (member.state === 'left' && turn.now - member.stateSince < LEAVING)))
+}
+
 function others (turn: Controllers.Turn, wanted: (member: Members.Member) => boolean): Members.Member[] {
   return turn.board.members.usable().filter(member => member.node !== turn.board.identity.node && wanted(member))
 }
--- a/packages/decisions/src/quarantine/quarantine.ts
+++ b/packages/decisions/src/quarantine/quarantine.ts
@@ -82,10 +82,10 @@
     const incarnation = this.incarnations.get(event.target)
     this.incarnations.delete(event.target)
     if (incarnation === undefined || !event.crashed) return
-    const flying = [...turn.board.requests.byId.values()].filter(request => {
-      const last = request.attempts.at(-1)
-      return last === undefined ? request.arrival.target === event.target : last.target === event.target
-    })
+    const { limits, requests } = turn.board
+    // Requests in the target's queue have not reached it.
+    const flying = [...requests.byId.values()].filter(request =>
+      request.attempts.some(attempt => limits.dispatched.get(attempt.attempt) === event.target))
     const signatures = flying.map(request => request.arrival.signature)
     this.report(event.target, incarnation, [...signatures, ...this.broken(event.target, incarnation, turn)], turn)
   }
--- a/packages/decisions/tests/ownership/fleet.ts
+++ b/packages/decisions/tests/ownership/fleet.ts
@@ -4,6 +4,7 @@
 import type * as Events from '../../src/core/event.js'
 import * as Ids from '../../src/core/ids.js'
 import * as Messages from '../../src/core/message.js'
+import * as Rendezvous from '../../src/core/rendezvous.js'
 import * as Random from '../../src/core/random.js'
 import type * as Refusals from '../../src/core/refusal.js'
 import * as Ledger from '../../src/ownership/ledger.js'
@@ -85,7 +86,7 @@
       region: Ids.region(region),
       incarnation: Ids.incarnation(incarnation),
       seeds: []
-    }, { ...this.options, seed: (this.options.seed ?? 1) * 1_000 + index + incarnation % 1_000 })
+    }, { ...this.options, seed: Rendezvous.hash(`${this.options.seed ?? 1} ${index} ${incarnation}`) })
     if (this.options.ledger !== undefined) node.board.keys.ledger = this.options.ledger()
     return node
   }
--- a/packages/decisions/tests/ownership/node.ts
+++ b/packages/decisions/tests/ownership/node.ts
@@ -36,6 +36,7 @@
       }
       case 'attempt-finished': {
         const request = requests.get(event.request)
+        turn.board.limits.dispatched.delete(event.attempt)
         if (request === undefined) return
         if (request.relayed) requests.byId.delete(event.request)
         else turn.raise({ kind: 'placement-failed', request: event.request, refusal: refusalOf(event.end) })
@@ -57,6 +58,7 @@
     const { node } = turn.board.identity
     const target = targetOf(node)
     turn.board.requests.get(id)?.attempts.push({ attempt, hop: 'dispatch', target, node, startedAt: turn.now })
+    turn.board.limits.dispatched.set(attempt, target)
     turn.emit({ kind: 'dispatch', request: id, attempt, target, address: Ids.endpoint('127.0.0.1:9'), remaining: DEADLINE as Clock.Milliseconds })
   }
 }
--- a/packages/decisions/tests/quarantine/quarantine.test.ts
+++ b/packages/decisions/tests/quarantine/quarantine.test.ts
@@ -71,9 +71,9 @@
 // Guards against a block that repeats keep alive for ever, and against one that ends while repeats arrive.
 test('a block is renewed but ends', () => {
   const fleet = fleetOf(4)
-  fleet.tickLength = 1_000
   crashWith(fleet, 0, ['killer'])
   crashWith(fleet, 1, ['killer'])
+  fleet.tickLength = 1_000
   const blockedAt = fleet.now
   for (let minute = 0; minute < 24; minute += 2) {
     assert.equal(outcome(fleet, minute % 4, 'killer'), 'request-blocked not-run')
