--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -7,7 +7,7 @@
 import * as Load from './demo-load.js'
 
 const READS_MS = 3_000
-const EJECTION_MS = 8_000
+const EJECTION_MS = 10_000
 const ORDERS = 20
 const SLOW_FACTOR = 20
 
