test(command-line): kill the owner of keys while orders run

Cause: at-most-once had no run with real processes and kill -9. Change: 60 keyed orders through three nodes, one of them killed, all sent again. Conclusion: no order ran twice, none ran after not-run.

--- a/packages/command-line/tests/processes.test.ts
+++ b/packages/command-line/tests/processes.test.ts
@@ -79,3 +79,32 @@
   assert.match(second.output(), /address-in-use/)
   await Support.knows(first.address, 0)
 })
+
+// Guards against an order that runs twice, or runs after "not run", when the node that owns its key is killed.
+test('orders run at most once when a node is killed', async t => {
+  const log = await Support.startLog(t)
+  const first = await Support.startNode(t, 'n1', log.url)
+  const second = await Support.startNode(t, 'n2', log.url, [first.address])
+  const victim = await Support.startNode(t, 'n3', log.url, [first.address])
+  const backend = await Support.startBackend(t, 't1', first.address)
+  for (const node of [first, second, victim]) await Support.knows(node.address, 1)
+  const caller = new StandIns.Callers.Caller({ nodes: [first.address, second.address], attempts: 3 })
+  t.after(() => caller.close())
+  const order = async (key: string): Promise<StandIns.Callers.CallResult> =>
+    await caller.call({ service: 'accounts', method: 'POST', path: '/accounts/orders', body: key, key, headers: { 'jasminedale-deadline': '1500', 'stand-in-time': '50' } })
+  await Support.eventually(async () => (await order(await caller.key())).kind === 'answered')
+  const keys = await Promise.all(Array.from({ length: 60 }, async () => await caller.key()))
+  const sent = keys.map(order)
+  victim.child.kill('SIGKILL')
+  await Promise.all(sent)
+  const last = await Promise.all(keys.map(order))
+  const { byKey } = await (await Undici.request(`http://${backend.address}/stand-in/executions`)).body.json() as StandIns.Executions.ExecutionReport
+  const runs = keys.map(key => byKey[key]?.started ?? 0)
+  assert.ok(runs.every(count => count <= 1))
+  for (const [index, result] of last.entries()) {
+    if (result.kind === 'answered') assert.equal(runs[index], 1)
+    if (result.kind === 'refused' && result.outcome === 'not-run') assert.equal(runs[index], 0)
+    assert.notEqual(result.kind, 'wrong-answer')
+  }
+  assert.ok(last.some(result => result.kind === 'answered'))
+})
