--- a/packages/node/src/observation/status.ts
+++ b/packages/node/src/observation/status.ts
@@ -55,6 +55,12 @@
     }
   }
 
+  /** How fast each service spends its error budget, as this node saw it as an entry. */
+  burn (): Decisions.BurnReports.Report {
+    const { engine: { board }, identity, clock } = this.parts
+    return Decisions.BurnReports.report(board.burn, identity.node, clock.now())
+  }
+
   /** Everything known about one target, with the decisions that concern it. */
   explain (id: Decisions.Ids.TargetId): unknown {
     const { board } = this.parts.engine
--- a/packages/node/src/own-endpoints.ts
+++ b/packages/node/src/own-endpoints.ts
@@ -97,4 +97,5 @@
   })
   instance.get('/status', () => parts.status.report())
   instance.get('/explain', explain(parts))
+  instance.get('/burn', () => parts.status.burn())
 }
--- a/packages/node/tests/daemon.test.ts
+++ b/packages/node/tests/daemon.test.ts
@@ -15,6 +15,8 @@
   const answer = await response.body.json() as Answer
   assert.equal(response.headers['jasminedale-outcome'], 'complete')
   assert.deepEqual([answer.target, answer.bodyBytes, answer.path], ['t1', 100_000, '/accounts/x?y=1'])
+  const burn = await (await Undici.request(`http://${address}/.jasminedale/burn`)).body.json() as Decisions.BurnReports.Report
+  assert.deepEqual(burn.services.map(entry => [entry.service, entry.windows[0]?.good]), [['accounts', 1]])
 })
 
 // Guards against a hop that drops fields, and against refusals that lose their type on the way back.
