feat(routing): try a silent read elsewhere before its deadline

Ruled out: sending two copies of every read; that doubles the load. Waiting for membership; it needs about 4 s to give a node up. Change: after ten times the target's usual latency, at least 250 ms and at most 40 % of the time to the deadline, an idempotent request is withdrawn and tried elsewhere, within the retry budget. Conclusion: silence is handled by the entry and not only by membership.

--- a/packages/decisions/src/routing/routing.ts
+++ b/packages/decisions/src/routing/routing.ts
@@ -5,6 +5,7 @@
 import * as Refusals from '../core/refusal.js'
 import * as Attempts from './attempts.js'
 import * as Outcomes from './outcome.js'
+import * as Patience from './patience.js'
 import * as Placements from './placement.js'
 import * as Records from './record.js'
 import type * as Requests from './requests.js'
@@ -104,7 +105,10 @@
   }
 
   private tick (turn: Controllers.Turn): void {
-    for (const request of turn.board.requests.byId.values()) if (turn.now >= request.deadline) expire(request, turn)
+    for (const request of turn.board.requests.byId.values()) {
+      if (turn.now >= request.deadline) expire(request, turn)
+      else this.repeatIfSilent(request, turn)
+    }
     if (turn.now - this.prunedAt < PRUNE_INTERVAL) return
     this.prunedAt = turn.now
     const { avoidance, estimates, retryBudgets } = turn.board.requests
@@ -114,6 +118,18 @@
     this.placer.pools.prune(turn.now)
   }
 
+  /** Tries an idempotent request elsewhere when its attempt gives no sign of life. */
+  private repeatIfSilent (request: Requests.Request, turn: Controllers.Turn): void {
+    const attempt = Patience.overdue(request, turn)
+    if (attempt === undefined || !Retries.mayRepeat(request, attempt)) return
+    const placement = Retries.next(request, false, this.placer, turn)
+    if (placement === undefined || placement.target.target === attempt.target) return
+    const elapsed = Clock.between(attempt.startedAt, turn.now)
+    if (attempt.target !== undefined) turn.board.requests.estimates.failed(attempt.target, elapsed, turn.now)
+    Attempts.withdraw(request, attempt, turn)
+    Attempts.start(request, placement, turn)
+  }
+
   /** A change on this node's own VM is known at once and must not wait for the pool's lifetime. */
   private forget (event: Events.TargetAnnounced | Events.TargetLeaving | Events.TargetGone, turn: Controllers.Turn): void {
     const known = turn.board.targets.get(event.target)
