feat(routing): tell a target's load from the wait in its queue

Cause: hosts do not spread the load that their targets report, so an entry saw only its own requests in flight. With 16 entries in a data center each sees a sixteenth of the work, and spill-over started too late. Ruled out: load in gossip; it changes all the time and would take most of the control budget. A load field in responses; it changes the wire format. Change: a response's latency minus service time and smallest overhead is the wait at the host; its ratio to the service time gives the load. Hosts that do not answer this node's probes are avoided. A node's drain waits until its keys are released.

--- a/packages/decisions/src/admission/admission.ts
+++ b/packages/decisions/src/admission/admission.ts
@@ -199,8 +199,10 @@
       for (const entry of lane.queue.clear()) Refuse.refuse(entry, Refuse.leaving(target), turn)
       turn.emit({ kind: 'drained', target, abandoned: lane.running })
     }
-    const left = turn.board.requests.byId.size
-    if (this.nodeDrain?.ends(left, turn.now) === true) turn.emit({ kind: 'drained', abandoned: left })
+    const { keys, requests } = turn.board
+    const left = requests.byId.size
+    // The node still owns keys until the next roster is in force; without the log, the limit ends the wait.
+    if (this.nodeDrain?.ends(left + (keys.released ? 0 : 1), turn.now) === true) turn.emit({ kind: 'drained', abandoned: left })
   }
 
   private tick (turn: Controllers.Turn): void {
--- a/packages/decisions/src/routing/costs.ts
+++ b/packages/decisions/src/routing/costs.ts
@@ -58,15 +58,14 @@
 }
 
 /**
- * The highest of what the target reports, what this node has in flight there, and a recent refusal
- * as overloaded: reports can be out of date, and one entry sees only its own work.
+ * Exact for this node's own targets. Hosts do not spread their load, so for others it is the highest of what
+ * this node has in flight there, the wait in their queue, and a recent refusal as overloaded.
  */
 function load (target: Targets.Target, turn: Controllers.Turn): number {
-  const { limits, requests } = turn.board
-  if (requests.estimates.isBusy(target.target, turn.now)) return LOAD_MAXIMUM
+  const { limits, requests: { estimates } } = turn.board
   const own = limits.byTarget.get(target.target)
-  const seen = own === undefined
-    ? requests.estimates.inFlight(target.target) / Math.max(1, target.slots)
-    : (own.running + own.queued) / Math.max(1, own.limit)
-  return Math.min(LOAD_MAXIMUM, Math.max(seen, target.load))
+  if (own !== undefined) return Math.min(LOAD_MAXIMUM, (own.running + own.queued) / Math.max(1, own.limit))
+  if (estimates.isBusy(target.target, turn.now)) return LOAD_MAXIMUM
+  const inFlight = estimates.inFlight(target.target) / Math.max(1, target.slots)
+  return Math.min(LOAD_MAXIMUM, Math.max(inFlight, estimates.load(target.target, target.slots, turn.now)))
 }
--- a/packages/decisions/src/routing/estimates.ts
+++ b/packages/decisions/src/routing/estimates.ts
@@ -10,6 +10,10 @@
 const LATENCY_MAXIMUM = Clock.seconds(10)
 /** Time after which an old estimate has lost two thirds of its weight, so that a recovered target is tried again. */
 const LATENCY_MEMORY = Clock.seconds(20)
+/** Time after which an observed wait has lost two thirds of its weight; queues change faster than service times. */
+const WAIT_MEMORY = Clock.seconds(3)
+/** Share by which the smallest overhead seen rises with each response, so that it follows a longer network path. */
+const OVERHEAD_RISE = 0.001
 const IDLE_LIMIT = Clock.minutes(5)
 const BYTES_GAIN = 0.1
 /** Assumed response size in bytes before the first response of a service. */
@@ -23,6 +27,10 @@
   latency: number | undefined
   latencyAt: Clock.Milliseconds
   usedAt: Clock.Milliseconds
+  /** Smallest time beside the service time, in ms: the network and no queue. */
+  overhead: number
+  /** Mean wait in the host's queue as a multiple of the service time. */
+  wait: number
   busyUntil: Clock.Milliseconds
 }
 
@@ -48,6 +56,26 @@
     estimate.latencyAt = now
   }
 
+  /** Learns the wait at the host from a response: what is left of the latency after service time and network. */
+  waited (target: Ids.TargetId, latency: Clock.Milliseconds, serviceTime: Clock.Milliseconds): void {
+    const estimate = this.byTarget.get(target)
+    if (estimate === undefined || serviceTime <= 0) return
+    const overhead = Math.max(0, latency - serviceTime)
+    estimate.overhead = Math.min(estimate.overhead * (1 + OVERHEAD_RISE), overhead)
+    estimate.wait += LATENCY_GAIN * ((overhead - estimate.overhead) / serviceTime - estimate.wait)
+  }
+
+  /**
+   * Load of a target as a fraction of its capacity, from the wait in its queue. With n slots, work waits
+   * for about load / (1 - load) / n service times, so waiting shows before the target is overloaded.
+   */
+  load (target: Ids.TargetId, slots: number, now: Clock.Milliseconds): number {
+    const estimate = this.byTarget.get(target)
+    if (estimate === undefined) return 0
+    const wait = slots * estimate.wait * Math.exp(-Math.max(0, now - estimate.latencyAt) / WAIT_MEMORY)
+    return wait / (1 + wait)
+  }
+
   failed (target: Ids.TargetId, elapsed: Clock.Milliseconds, now: Clock.Milliseconds): void {
     const estimate = this.entry(target, now)
     const raised = FAILURE_FACTOR * Math.max(estimate.latency ?? 0, elapsed, 1)
@@ -97,7 +125,7 @@
   private entry (target: Ids.TargetId, now: Clock.Milliseconds): TargetEstimate {
     const known = this.byTarget.get(target)
     if (known !== undefined) return known
-    const fresh = { inFlight: 0, latency: undefined, latencyAt: now, usedAt: now, busyUntil: Clock.milliseconds(0) }
+    const fresh = { inFlight: 0, latency: undefined, latencyAt: now, usedAt: now, overhead: Infinity, wait: 0, busyUntil: Clock.milliseconds(0) }
     this.byTarget.set(target, fresh)
     return fresh
   }
--- a/packages/decisions/src/routing/placement.ts
+++ b/packages/decisions/src/routing/placement.ts
@@ -66,7 +66,7 @@
       .filter(target => !tried.has(target.target) && this.isUsable(target, turn))
     if (usable.length === 0) return Neverthrow.err(unavailable(service, turn))
     const { avoidance } = turn.board.requests
-    const open = usable.filter(target => !avoidance.avoids(target, turn.now))
+    const open = usable.filter(target => !avoidance.avoids(target, turn.now) && answers(target, turn))
     const chosen = this.among(open, request, turn)
     if (chosen !== undefined) return Neverthrow.ok({ ...chosen, avoided: false })
     const last = this.among(usable.filter(target => !open.includes(target)), request, turn)
@@ -100,7 +100,7 @@
 
   /**
    * Moves a growing share of the work to a less loaded tier before the nearer one is full. Never more
-   * than evens out the two, because reports are up to a second old and all entries follow the same ones.
+   * than evens out the two, because the signs of load are late and all entries see the same ones.
    */
   private spill (home: Tier, tiers: readonly Tier[], request: Requests.Request, turn: Controllers.Turn): Tier {
     const urgency = (home.load - SPILL_START) / (SPILL_END - SPILL_START)
@@ -119,6 +119,11 @@
   }
 }
 
+/** A host that does not answer this node's probes is likely behind a one-way cut. */
+function answers (target: Targets.Target, turn: Controllers.Turn): boolean {
+  return turn.board.members.get(target.host)?.unansweredSince === undefined
+}
+
 /** A near tier with too few targets for a real choice is joined with the rest of the region. */
 function tiersOf (targets: readonly Targets.Target[], floor: number, turn: Controllers.Turn): readonly Tier[] {
   const groups = Pools.DISTANCES.map(step => targets.filter(target => Pools.distance(target, turn) === step))
--- a/packages/decisions/src/routing/routing.ts
+++ b/packages/decisions/src/routing/routing.ts
@@ -35,7 +35,6 @@
       case 'placement-failed': refuse(event, turn); break
       case 'request-answered': answered(event, turn); break
       case 'tick': this.tick(turn); break
-      case 'member-changed': this.placer.topology.invalidate(); break
       case 'target-announced':
       case 'target-leaving':
       case 'target-gone':
--- a/packages/decisions/src/routing/topology.ts
+++ b/packages/decisions/src/routing/topology.ts
@@ -7,6 +7,8 @@
 
 /** Walking 5,200 members takes well under a millisecond, so once a second is below 0.1 % of a core. */
 const REFRESH_INTERVAL = Clock.seconds(1)
+/** Changes of members in a large fleet come many at a time. */
+const CHANGE_INTERVAL = Clock.milliseconds(100)
 /** Failures in a row to one region, without a success, after which it counts as cut. */
 const CUT_FAILURES = 3
 /** Time for which failures of this node's own attempts count a region as cut. */
@@ -19,15 +21,11 @@
 
 export class Topology {
   private refreshedAt: Clock.Milliseconds | undefined
+  private generation = -1
   private aliveRegions = new Set<Ids.Region>()
   private ownPlace: Subsets.Place | undefined
   private readonly failures = new Map<Ids.Region, RegionFailures>()
 
-  /** Reads the members again before the next use. */
-  invalidate (): void {
-    this.refreshedAt = undefined
-  }
-
   /** This node's place among the usable nodes of its data center. */
   place (turn: Controllers.Turn): Subsets.Place {
     this.refresh(turn)
@@ -53,9 +51,11 @@
   }
 
   private refresh (turn: Controllers.Turn): void {
-    if (this.refreshedAt !== undefined && turn.now - this.refreshedAt < REFRESH_INTERVAL) return
-    this.refreshedAt = turn.now
     const { identity, members } = turn.board
+    const interval = members.generation === this.generation ? REFRESH_INTERVAL : CHANGE_INTERVAL
+    if (this.refreshedAt !== undefined && turn.now - this.refreshedAt < interval) return
+    this.refreshedAt = turn.now
+    this.generation = members.generation
     const usable = members.usable()
     this.aliveRegions = new Set(usable.filter(member => member.state === 'alive').map(member => member.region))
     const neighbours = usable.filter(member => member.dataCenter === identity.dataCenter).map(member => member.node)
