--- a/packages/decisions/src/routing/retry-budget.ts
+++ b/packages/decisions/src/routing/retry-budget.ts
@@ -15,7 +15,8 @@
 
 export class RetryBudget {
   private readonly firsts = new RollingCounts.RollingCount(SPAN, BUCKETS)
-  private readonly retries = new RollingCounts.RollingCount(SPAN, BUCKETS)
+  /** One bucket more than for first attempts, so that both errors of the buckets make the budget stricter. */
+  private readonly retries = new RollingCounts.RollingCount(Clock.milliseconds(SPAN / BUCKETS * (BUCKETS + 1)), BUCKETS + 1)
   private balance = MINIMUM
   usedAt = Clock.milliseconds(0)
 
