--- a/packages/decisions/src/core/engine.ts
+++ b/packages/decisions/src/core/engine.ts
@@ -43,11 +43,15 @@
   ]
 }
 
-/** Every controller may answer a request; the event tells the others that it is over. */
-function answeredBy (command: Commands.Command): Events.RequestAnswered | undefined {
+/**
+ * Every controller may answer a request, and admission may hold an attempt in its queue; only the command
+ * tells the others that a request is over or that work on a target begins.
+ */
+function announced (command: Commands.Command): Events.RequestAnswered | Events.AttemptDispatched | undefined {
   switch (command.kind) {
     case 'refuse': return { kind: 'request-answered', request: command.request, answer: command.refusal }
     case 'replay': return { kind: 'request-answered', request: command.request, answer: { kind: 'replayed', status: command.status } }
+    case 'dispatch': return { kind: 'attempt-dispatched', request: command.request, attempt: command.attempt, target: command.target }
     default: return undefined
   }
 }
@@ -91,8 +95,8 @@
       random,
       emit: command => {
         commands.push(command)
-        const answered = answeredBy(command)
-        if (answered !== undefined) pending.push(answered)
+        const event = announced(command)
+        if (event !== undefined) pending.push(event)
       },
       raise: event => { pending.push(event) },
       record: (entry: Omit<Entries.Entry, 'at'>) => { board.journal.add({ at: now, ...entry }) },
--- a/packages/measurements/src/simulation/attempt.ts
+++ b/packages/measurements/src/simulation/attempt.ts
@@ -10,6 +10,7 @@
   private readonly startedAt: number
   private open = true
   private status: number | undefined
+  /** As the host measured it; passed on in `jasminedale-service-time`. */
   private serviceTime = 0
   private requester: Nodes.Requester | undefined
   /** Stops the work at the other end. */
