--- a/packages/measurements/src/simulation/attempt.ts
+++ b/packages/measurements/src/simulation/attempt.ts
@@ -84,9 +84,7 @@
     fleet.agenda.after(0, () => { attempt.finish({ kind: 'unreachable' }) })
     return
   }
-  const carry = (run: () => void): void => {
-    fleet.agenda.after(fleet.latency(node, peer), () => { if (fleet.connected(node, peer)) run() })
-  }
+  const carry = (run: () => void): void => { fleet.carry(node, peer, run) }
   const { hop, target, remaining, earlierAttempts } = command
   const arrival = { ...submission.arrival, hop, remaining, earlierAttempts, from: node.engine.board.identity.node, ...(target === undefined ? {} : { target }) }
   carry(() => {
