fix(ownership): trust "not run" of an owner only from its ledger

A node may refuse a forwarded request before it looks at the ledger (body too large or too slow, malformed, starting, leaving); the entry passed that on as "not run" although an earlier send of the key may have run.

--- a/packages/decisions/src/ownership/parts.ts
+++ b/packages/decisions/src/ownership/parts.ts
@@ -11,6 +11,11 @@
 /** Bound on how far a restarted witness's clock may have been set back since its last promise. */
 const SUCCESSION_MARGIN = Clock.minutes(1)
 
+/** Refusals that the owner's node may give before it looks at the ledger; they say nothing about earlier sends. */
+const OUTSIDE_LEDGER: ReadonlySet<Refusals.RefusalKind> = new Set([
+  'request-malformed', 'body-too-large', 'deadline-exceeded', 'node-leaving', 'node-starting'
+])
+
 export class Rules {
   /** Whether a majority of the version's witnesses has promised the key time. */
   covers (version: Roster.RosterVersion, time: Clock.Milliseconds): boolean {
@@ -39,7 +44,7 @@
 
   /** What an entry may say after a forward to the owner ended without an answer: an earlier send may have run. */
   forwardRefusal (end: Events.AttemptEnd | undefined, refusal: Refusals.Refusal): Refusals.Refusal {
-    if (end?.kind === 'refused') return end.refusal
+    if (end?.kind === 'refused') return OUTSIDE_LEDGER.has(end.refusal.kind) ? { ...end.refusal, outcome: 'unknown' } : end.refusal
     return Refusals.unknown('key-owner-unreachable', `The owner of the key gave no answer: ${refusal.detail}`)
   }
 }
