--- a/packages/measurements/src/simulation/attempt.ts
+++ b/packages/measurements/src/simulation/attempt.ts
@@ -10,6 +10,8 @@
   private readonly startedAt: number
   private open = true
   private status: number | undefined
+  /** As the host measured it; passed on in `jasminedale-service-time`. */
+  private serviceTime = 0
   private requester: Nodes.Requester | undefined
   /** Stops the work at the other end. */
   onCancel: () => void = () => { /* nothing was sent yet */ }
@@ -26,6 +28,7 @@
   head (status: number, serviceTime: number): void {
     if (!this.open) return
     this.status = status
+    this.serviceTime = serviceTime
     const { request, attempt } = this.command
     this.node.step([{ kind: 'attempt-responded', request, attempt, status, shed: false, serviceTime: Decisions.Clock.milliseconds(serviceTime) }])
   }
@@ -47,7 +50,7 @@
 
   relayTo (requester: Nodes.Requester): void {
     this.requester = requester
-    requester.head(this.status ?? 200, 0)
+    requester.head(this.status ?? 200, this.serviceTime)
   }
 
   cancel (): void {
--- a/packages/node/src/observation/status.ts
+++ b/packages/node/src/observation/status.ts
@@ -21,6 +21,11 @@
   return new Date(at).toISOString()
 }
 
+function processorTime (): number {
+  const { user, system } = process.cpuUsage()
+  return user + system
+}
+
 export class Status {
   private readonly parts: Parts
 
@@ -37,8 +42,11 @@
       dataCenter: identity.dataCenter,
       region: identity.region,
       incarnation: identity.incarnation,
+      /** Whether callers are served; a node that does not know the configuration yet refuses them. */
+      ready: board.configuration.settled,
       configuration: { version: board.configuration.current.version, publication: board.configuration.current.publication },
       stale: this.stale(),
+      process: { processorMicroseconds: processorTime(), residentBytes: process.memoryUsage.rss() },
       requestsOpen: gateway.open,
       connectionPools: pools.size,
       members: [...board.members.byNode.values()].map(member => ({ ...member, stateSince: instant(member.stateSince) })),
@@ -47,6 +55,12 @@
     }
   }
 
+  /** How fast each service spends its error budget, as this node saw it as an entry. */
+  burn (): Decisions.BurnReports.Report {
+    const { engine: { board }, identity, clock } = this.parts
+    return Decisions.BurnReports.report(board.burn, identity.node, clock.now())
+  }
+
   /** Everything known about one target, with the decisions that concern it. */
   explain (id: Decisions.Ids.TargetId): unknown {
     const { board } = this.parts.engine
--- a/packages/scenarios/src/attempt.ts
+++ b/packages/scenarios/src/attempt.ts
@@ -9,6 +9,8 @@
   private readonly startedAt: number
   private open = true
   private status: number | undefined
+  /** As the host measured it; passed on in `jasminedale-service-time`. */
+  private serviceTime = 0
   private relayed: FakeNodes.Responder | undefined
   /** Stops the work at the other end. */
   onCancel: () => void = () => { /* nothing was sent yet */ }
@@ -25,6 +27,7 @@
   head (status: number, shed: boolean, serviceTime: number): void {
     if (!this.open) return
     this.status = status
+    this.serviceTime = serviceTime
     const { request, attempt } = this.command
     this.node.step([{ kind: 'attempt-responded', request, attempt, status, shed, serviceTime: Decisions.Clock.milliseconds(serviceTime) }])
   }
@@ -45,7 +48,7 @@
 
   relayTo (responder: FakeNodes.Responder): void {
     this.relayed = responder
-    responder.head(this.status ?? 200, false, 0)
+    responder.head(this.status ?? 200, false, this.serviceTime)
   }
 
   cancel (): void {
