feat(command-line): show the burn report of one or more nodes

Cause: docs/operators.md names jasminedale burn, and the report had no reader. Change: subcommand burn; the demo now also fails when the slowed server is not ejected. Before: no command.

--- a/packages/command-line/src/program.ts
+++ b/packages/command-line/src/program.ts
@@ -1,5 +1,6 @@
 /** The command line: one module in commands/ for each subcommand. */
 import * as Commander from 'commander'
+import * as Burn from './commands/burn.js'
 import * as Check from './commands/check.js'
 import * as Drain from './commands/drain.js'
 import * as Drive from './commands/drive.js'
@@ -21,6 +22,7 @@
   Drain.register(root)
   Status.register(root)
   Explain.register(root)
+  Burn.register(root)
   Drive.register(root)
   return root
 }
--- a/packages/stand-ins/src/demo/main.ts
+++ b/packages/stand-ins/src/demo/main.ts
@@ -46,7 +46,7 @@
   say(`reads: ${JSON.stringify(Object.fromEntries(load.caller.counts))}`)
   say(`orders: ${orders.completed} of ${orders.sent} completed, ${orders.refused} refused${orders.reasons.length === 0 ? '' : ` (${orders.reasons.join(', ')})`}, each sent again with the same key: ${orders.replayed} answered from the ledger, ${repeated} ran twice`)
   await load.close()
-  return wrong === 0 && repeated === 0
+  return wrong === 0 && repeated === 0 && explained.standing.kind === 'ejected'
 }
 
 const fleet = new Fleets.DemoFleet()
@@ -59,5 +59,5 @@
   const killed = await fleet.stop()
   say(`stopped all processes, ${killed} of them by force`)
 }
-say(kept ? 'result: every answer was whole and its own, no order ran twice' : 'result: FAILED')
+say(kept ? 'result: every answer was whole and its own, no order ran twice, the slow server was ejected' : 'result: FAILED')
 Process.exit(kept ? 0 : 1)
