fix(demo): publish a drain limit of 2 s

Cause: a stopping owner of keys now waits for the next roster, which nobody makes when all nodes stop at once; 5 processes had to be killed and the demo took 36 s at a load average of 34. Ruled out: a longer patience, since the whole demo has 30 s. Conclusion: a planned stop of a whole fleet takes the drain limit.

--- a/packages/stand-ins/src/demo/demo-fleet.ts
+++ b/packages/stand-ins/src/demo/demo-fleet.ts
@@ -10,7 +10,7 @@
 const TARGETS_PER_NODE = 2
 const PUBLISH_MS = 12_000
 
-const CONFIGURATION = ['[defaults]', 'deadline = 2s', 'capacity-floor = 50%', 'ejection-evidence = 8', ''].join('\n')
+const CONFIGURATION = ['[defaults]', 'deadline = 2s', 'drain-limit = 2s', 'capacity-floor = 50%', 'ejection-evidence = 8', ''].join('\n')
 
 const PLACES: readonly FleetProcesses.NodePlace[] = [
   { name: 'burnaby-1', host: '127.0.0.11', dataCenter: 'burnaby-a', region: 'lower-mainland' },
