--- a/packages/decisions/src/detection/outlier-window.ts
+++ b/packages/decisions/src/detection/outlier-window.ts
@@ -14,11 +14,17 @@
 
 export class OutlierWindow extends Deciders.Decider {
   private samples: Deciders.Sample[] = []
+  private errors = 0
+  private logs = 0
 
   override observe (sample: Deciders.Sample): void {
     if (sample.outcome === 'waiting') return
     this.samples.push(sample)
-    while (this.samples.length > MAXIMUM_SAMPLES || this.isOld(sample)) this.samples.shift()
+    this.count(sample, 1)
+    while (this.samples.length > MAXIMUM_SAMPLES || this.isOld(sample)) {
+      const oldest = this.samples.shift()
+      if (oldest !== undefined) this.count(oldest, -1)
+    }
   }
 
   override probed (): void {
@@ -40,6 +46,13 @@
 
   override reset (): void {
     this.samples = []
+    this.errors = 0
+    this.logs = 0
+  }
+
+  private count (sample: Deciders.Sample, direction: 1 | -1): void {
+    if (sample.outcome === 'failed') this.errors += direction
+    else this.logs += direction * Math.log(Math.max(sample.elapsed, 1))
   }
 
   private isOld (latest: Deciders.Sample): boolean {
@@ -48,17 +61,16 @@
   }
 
   private errorLevel (): number {
-    const errors = this.samples.filter(sample => sample.outcome === 'failed').length / this.samples.length
     const usual = this.samples.at(-1)?.reference?.errorRate ?? 0
-    return Math.max(0, errors - usual) / SUCCESS_RATE_DEFICIT
+    return Math.max(0, this.errors / this.samples.length - usual) / SUCCESS_RATE_DEFICIT
   }
 
   private latencyLevel (): number {
     const reference = this.samples.at(-1)?.reference
-    const logs = this.samples.filter(sample => sample.outcome === 'answered').map(sample => Math.log(Math.max(sample.elapsed, 1)))
-    if (reference === undefined || logs.length < MINIMUM_SAMPLES) return 0
-    const excess = logs.reduce((sum, log) => sum + log, 0) / logs.length - reference.meanLogLatency
-    const standardError = Math.max(reference.deviation, DEVIATION_MINIMUM) / Math.sqrt(logs.length)
+    const answers = this.samples.length - this.errors
+    if (reference === undefined || answers < MINIMUM_SAMPLES) return 0
+    const excess = this.logs / answers - reference.meanLogLatency
+    const standardError = Math.max(reference.deviation, DEVIATION_MINIMUM) / Math.sqrt(answers)
     return Math.max(0, Math.min(excess / Math.log(LATENCY_RATIO), excess / standardError / STANDARD_ERRORS))
   }
 }
--- /dev/null
+++ b/packages/measurements/src/detection/target-run.ts
@@ -0,0 +1,169 @@
+/** One target under the real Detection controller, from healthy work through a fault to the last dispatch. */
+import * as Decisions from '@jasminedale/decisions'
+import * as Agendas from '../simulation/agenda.js'
+import * as Distributions from '../simulation/distribution.js'
+import type * as Faults from './fault.js'
+import * as Services from './service.js'
+
+export interface TargetRunOptions {
+  readonly seed: number
+  readonly decider: () => Decisions.Deciders.Decider
+  readonly threshold: number
+  readonly fault: Faults.Fault
+  /** Requests per second to the target. */
+  readonly rate: number
+  readonly slots: number
+  /** One-way latency in ms; a promise takes two. */
+  readonly latency: number
+  /** The run ends undetected so long after the fault's start, in ms. */
+  readonly limit: number
+}
+
+export interface TargetRunResult {
+  readonly detected: boolean
+  /** From the fault's start to the last dispatch before the ejection, or the limit, in ms. */
+  readonly lastDispatch: number
+  /** Requests dispatched during the fault that were slowed, failed or lost. */
+  readonly harmed: number
+}
+
+const TICK_MS = 100
+const WARM_UP_MS = 20_000
+const PROBE_MS = 25
+const DEADLINE_MS = 2_000
+const FAILURE_MS = 5
+const BASELINE_SAMPLES = 32
+const TARGET = Decisions.Ids.targetId('target')
+const SERVICE = Decisions.Ids.service('service')
+const { milliseconds } = Decisions.Clock
+
+export class TargetRun {
+  private readonly agenda = new Agendas.Agenda()
+  private readonly distribution: Distributions.Distribution
+  private readonly board: Decisions.Blackboards.Blackboard
+  private readonly controller: Decisions.Detection.Detection
+  private readonly arrival: Omit<Decisions.Events.RequestArrived, 'request' | 'from' | 'baseline'>
+  private running = 0
+  private counter = 0
+  private lastDispatch = 0
+  private harmed = 0
+  private ejectedAt = Number.POSITIVE_INFINITY
+
+  constructor (private readonly options: TargetRunOptions) {
+    this.distribution = new Distributions.Distribution(options.seed)
+    this.controller = new Decisions.Detection.Detection(options.decider)
+    this.board = boardWith(options)
+    this.arrival = {
+      kind: 'request-arrived', hop: 'host', service: SERVICE, method: 'GET', path: '/', earlierAttempts: 0,
+      signature: Decisions.Ids.signature('s'), replayable: true
+    }
+  }
+
+  run (): TargetRunResult {
+    this.agenda.after(0, () => { this.tick() })
+    this.agenda.after(this.gap(), () => { this.arrive() })
+    const end = WARM_UP_MS + this.options.limit
+    for (let until = WARM_UP_MS; until < end && this.agenda.now <= this.ejectedAt; until += TICK_MS) this.agenda.runUntil(until)
+    const detected = Number.isFinite(this.ejectedAt)
+    const last = detected ? Math.max(0, this.lastDispatch - WARM_UP_MS) : this.options.limit
+    return { detected, lastDispatch: last, harmed: this.harmed }
+  }
+
+  private gap (): number {
+    return this.distribution.exponential(1_000 / this.options.rate)
+  }
+
+  private react (event: Decisions.Events.Event): void {
+    const now = milliseconds(this.agenda.now)
+    this.controller.react(event, {
+      board: this.board, now, random: new Decisions.Random.Random(1),
+      emit: command => { if (command.kind === 'probe') this.agenda.after(PROBE_MS, () => { this.probed() }) },
+      raise: raised => {
+        // Before the fault a wish is a false one; the run is about the time after it.
+        if (raised.kind !== 'ejection-wanted' || this.agenda.now < WARM_UP_MS) return
+        this.ejectedAt = Math.min(this.ejectedAt, this.agenda.now + 2 * this.options.latency)
+      },
+      record: () => undefined,
+      freshId: () => ''
+    })
+  }
+
+  private tick (): void {
+    this.react({ kind: 'tick' })
+    this.agenda.after(TICK_MS, () => { this.tick() })
+  }
+
+  private probed (): void {
+    const healthy = !(this.options.fault.probesFail && this.agenda.now >= WARM_UP_MS)
+    this.react({ kind: 'probe-finished', target: TARGET, healthy, elapsed: milliseconds(PROBE_MS) })
+  }
+
+  private arrive (): void {
+    this.agenda.after(this.gap(), () => { this.arrive() })
+    // Work beyond the slots waits or goes elsewhere; it does not reach the target.
+    if (this.running >= this.options.slots || this.agenda.now >= this.ejectedAt) return
+    this.running += 1
+    this.lastDispatch = this.agenda.now
+    const request = Decisions.Ids.requestId(`r${this.counter}`)
+    const attempt = Decisions.Ids.attemptId(`a${this.counter++}`)
+    const from = Decisions.Ids.nodeId(`n${this.distribution.below(4)}`)
+    const arrival = { ...this.arrival, request, from, baseline: this.baseline() }
+    this.board.requests.byId.set(request, { ...EMPTY_REQUEST, arrival, policy: this.board.configuration.current.defaults })
+    this.react({ kind: 'attempt-dispatched', request, attempt, target: TARGET })
+    this.board.requests.byId.delete(request)
+    this.serve(request, attempt)
+  }
+
+  private serve (request: Decisions.Ids.RequestId, attempt: Decisions.Ids.AttemptId): void {
+    const since = this.agenda.now - WARM_UP_MS
+    const { kind, slowness } = since < 0 ? { kind: 'answered' as const, slowness: 1 } : this.options.fault.fate(since, this.distribution)
+    if (kind !== 'answered' || slowness > 1) this.harmed += 1
+    const elapsed = milliseconds(kind === 'unreachable' ? FAILURE_MS : Services.serviceTime(this.distribution) * slowness)
+    const finish = (end: Decisions.Events.AttemptEnd, after: number): void => {
+      this.running -= 1
+      this.react({ kind: 'attempt-finished', request, attempt, end, elapsed: milliseconds(after) })
+    }
+    if (kind === 'lost') {
+      this.agenda.after(DEADLINE_MS, () => { finish({ kind: 'timed-out', responseStarted: false }, DEADLINE_MS) })
+      return
+    }
+    this.agenda.after(elapsed, () => {
+      if (kind === 'unreachable') {
+        finish({ kind: 'unreachable' }, elapsed)
+        return
+      }
+      const status = kind === 'failed' ? 500 : 200
+      this.react({ kind: 'attempt-responded', request, attempt, status, shed: false, serviceTime: elapsed })
+      finish({ kind: 'complete', status, bytes: 1 }, elapsed)
+    })
+  }
+
+  /** An entry's estimate from as many samples as its window holds. */
+  private baseline (): Decisions.Events.Baseline {
+    const logs = Array.from({ length: BASELINE_SAMPLES }, () => Math.log(Services.serviceTime(this.distribution)))
+    const mean = logs.reduce((sum, log) => sum + log, 0) / logs.length
+    const variance = logs.reduce((sum, log) => sum + (log - mean) ** 2, 0) / logs.length
+    return { meanLogLatency: mean, deviation: Math.sqrt(variance), errorRate: Services.HEALTHY_ERROR_RATE, samples: BASELINE_SAMPLES }
+  }
+}
+
+const EMPTY_REQUEST = {
+  idempotent: true, arrivedAt: milliseconds(0), deadline: milliseconds(0), firstAttempt: Decisions.Ids.attemptId(''),
+  attempts: [], closed: new Set<Decisions.Ids.AttemptId>(), decisions: [], mayHaveRun: false, connectionsLost: 0,
+  relayed: false, relayedStatus: 0, expired: false
+}
+
+function boardWith (options: TargetRunOptions): Decisions.Blackboards.Blackboard {
+  const node = Decisions.Ids.nodeId('host')
+  const [dataCenter, region] = [Decisions.Ids.dataCenter('d'), Decisions.Ids.region('r')]
+  const incarnation = Decisions.Ids.incarnation(1)
+  const address = Decisions.Ids.endpoint('127.0.0.1:1')
+  const board = new Decisions.Blackboards.Blackboard({ node, address, dataCenter, region, incarnation, seeds: [] })
+  const { current } = board.configuration
+  board.configuration.current = { ...current, defaults: { ...current.defaults, ejectionEvidence: options.threshold } }
+  board.targets.put({
+    target: TARGET, service: SERVICE, host: node, dataCenter, region, address, slots: options.slots, incarnation,
+    state: 'serving', announcedAt: milliseconds(-60_000), load: 0
+  })
+  return board
+}
--- a/packages/node/src/requests/problem.ts
+++ b/packages/node/src/requests/problem.ts
@@ -15,6 +15,7 @@
   'target-leaving': 503,
   'target-ejected': 503,
   'node-leaving': 503,
+  'node-starting': 503,
   'request-blocked': 403,
   'key-malformed': 400,
   'key-content-mismatch': 422,
