--- a/packages/decisions/src/detection/accumulator.ts
+++ b/packages/decisions/src/detection/accumulator.ts
@@ -1,31 +1,36 @@
 /** A CUSUM in nats that counts each attempt once, also when it is observed repeatedly. */
+import type * as Clock from '../core/clock.js'
 import type * as Ids from '../core/ids.js'
 
 export class Accumulator {
   private sum = 0
+  private spanStart = Number.NEGATIVE_INFINITY
+  private gained = 0
   /** Contributions of attempts in flight, replaced by the final one. */
   private readonly provisional = new Map<Ids.AttemptId, number>()
 
+  /** At most `gain` nats are added within each `span` of ms; slow answers of one short pause depend on each other. */
+  constructor (private readonly gain = Number.POSITIVE_INFINITY, private readonly span = 0) {}
+
   get value (): number {
     return this.sum
   }
 
   /** Counts an attempt that ended. */
-  settle (attempt: Ids.AttemptId, increment: number): void {
-    this.add(increment - (this.provisional.get(attempt) ?? 0))
+  settle (attempt: Ids.AttemptId, increment: number, at: Clock.Milliseconds): void {
+    this.add(increment - (this.provisional.get(attempt) ?? 0), at)
     this.provisional.delete(attempt)
   }
 
   /** Counts an attempt that is still in flight; only growth is added. */
-  hold (attempt: Ids.AttemptId, increment: number): void {
+  hold (attempt: Ids.AttemptId, increment: number, at: Clock.Milliseconds): void {
     const earlier = this.provisional.get(attempt) ?? 0
-    if (increment <= earlier) return
-    this.add(increment - earlier)
-    this.provisional.set(attempt, increment)
+    if (increment > earlier) this.provisional.set(attempt, earlier + this.add(increment - earlier, at))
   }
 
   waive (attempt: Ids.AttemptId): void {
-    this.settle(attempt, 0)
+    this.sum = Math.max(0, this.sum - (this.provisional.get(attempt) ?? 0))
+    this.provisional.delete(attempt)
   }
 
   /** Keeps what an attempt has contributed and forgets the attempt. */
@@ -33,10 +38,6 @@
     this.provisional.delete(attempt)
   }
 
-  add (increment: number): void {
-    this.sum = Math.max(0, this.sum + increment)
-  }
-
   /** Lowers the sum to `limit`, so that it falls quickly once the baseline has caught up. */
   cap (limit: number): void {
     this.sum = Math.min(this.sum, limit)
@@ -46,4 +47,16 @@
     this.sum = 0
     this.provisional.clear()
   }
+
+  /** Returns the part that was added. */
+  private add (increment: number, at: Clock.Milliseconds): number {
+    if (at - this.spanStart >= this.span) {
+      this.spanStart = at
+      this.gained = 0
+    }
+    const added = Math.min(increment, this.gain - this.gained)
+    this.gained += Math.max(0, added)
+    this.sum = Math.max(0, this.sum + added)
+    return added
+  }
 }
--- a/packages/decisions/src/detection/sequential-test.ts
+++ b/packages/decisions/src/detection/sequential-test.ts
@@ -1,4 +1,5 @@
 /** Default decider: CUSUM of log-likelihood ratios, one for errors and one for slowness. */
+import type * as Clock from '../core/clock.js'
 import type * as Events from '../core/event.js'
 import type * as Ids from '../core/ids.js'
 import * as Accumulators from './accumulator.js'
@@ -8,7 +9,7 @@
 /** A failed probe weighs less than a failed request. */
 const PROBE_INCREMENT = 3
 /** Share of the threshold that probes can reach while real work succeeds: never enough to eject. */
-const PROBE_SHARE = 0.4
+const PROBE_SHARE = 0.25
 /** Without a baseline, a request in flight for this long counts as lost. */
 const WAIT_WITHOUT_BASELINE_MILLISECONDS = 2_000
 
@@ -40,7 +41,7 @@
     switch (sample.outcome) {
       case 'answered': this.answered(sample); break
       case 'failed':
-        this.errors.settle(sample.attempt, Likelihood.failure(sample.reference))
+        this.errors.settle(sample.attempt, Likelihood.failure(sample.reference), sample.at)
         this.lastFailed = true
         break
       case 'waiting': this.waiting(sample); break
@@ -89,31 +90,31 @@
   }
 
   private answered (sample: Deciders.Sample): void {
-    const { attempt, elapsed, reference, slownessWeight } = sample
+    const { attempt, elapsed, reference, slownessWeight, at } = sample
     this.lastFailed = false
     this.waitsLong = false
     this.reference = reference
     const log = Math.log(Math.max(elapsed, 1))
     this.recent = this.recent === undefined ? log : this.recent + RECENT_WEIGHT * (log - this.recent)
-    this.errors.settle(attempt, Likelihood.success(reference))
+    this.errors.settle(attempt, Likelihood.success(reference), at)
     const increment = reference === undefined ? 0 : Likelihood.slowAnswer(elapsed, reference)
-    this.slowness.settle(attempt, increment > 0 ? increment * slownessWeight : increment)
+    this.slowness.settle(attempt, increment > 0 ? increment * slownessWeight : increment, at)
   }
 
   private waiting (sample: Deciders.Sample): void {
-    const { attempt, elapsed, reference, slownessWeight, waitingWeight } = sample
+    const { attempt, elapsed, reference, slownessWeight, waitingWeight, at } = sample
     if (reference === undefined) {
-      if (elapsed >= WAIT_WITHOUT_BASELINE_MILLISECONDS) this.lost(attempt, Likelihood.failure(reference), waitingWeight)
+      if (elapsed >= WAIT_WITHOUT_BASELINE_MILLISECONDS) this.lost(attempt, Likelihood.failure(reference), waitingWeight, at)
       return
     }
-    this.lost(attempt, Likelihood.lostWait(elapsed, reference), waitingWeight)
+    this.lost(attempt, Likelihood.lostWait(elapsed, reference), waitingWeight, at)
     const increment = Likelihood.slowWait(elapsed, reference)
     if (increment >= LONG_WAIT) this.waitsLong = true
-    this.slowness.hold(attempt, slownessWeight * increment)
+    this.slowness.hold(attempt, slownessWeight * increment, at)
   }
 
-  private lost (attempt: Ids.AttemptId, increment: number, weight: number): void {
+  private lost (attempt: Ids.AttemptId, increment: number, weight: number, at: Clock.Milliseconds): void {
     if (increment >= Likelihood.LARGEST_INCREMENT) this.lastFailed = true
-    this.errors.hold(attempt, increment * weight)
+    this.errors.hold(attempt, increment * weight, at)
   }
 }
--- a/packages/measurements/src/main.ts
+++ b/packages/measurements/src/main.ts
@@ -5,5 +5,7 @@
 
 const program = new Commander.Command('measure').description('Measurements of jasminedale').showHelpAfterError()
 Capacity.register(program)
+import * as Detection from './commands/detection.js'
+Detection.register(program)
 Latency.register(program)
 await program.parseAsync(process.argv)
