fix(measurements): introduce peers by synchronization

Cause: the capacity measurement introduced 5,200 peers by gossip, so the engine was still passing them on while its idle traffic was measured: 21.6 KB/s. Ruled out: churn; 0.13 restarts a second explain 3 KB/s. Change: peers are introduced as synchronization does it after a start.

--- a/packages/measurements/src/capacity/observed-engine.ts
+++ b/packages/measurements/src/capacity/observed-engine.ts
@@ -46,12 +46,12 @@
     this.engine.board.configuration.settled = true
   }
 
-  /** Tells the engine of every peer and its targets. */
+  /** Tells the engine of every peer and its targets, as synchronization does after a start. */
   populate (): void {
     for (let first = 1; first < this.nodes; first += BATCH) {
       const indices = Array.from({ length: Math.min(BATCH, this.nodes - first) }, (_, offset) => first + offset)
-      this.gossip(indices[0] ?? 1, indices.map(index => this.member(index, START_MS)))
-      for (const index of indices) this.gossip(index, [this.targets(index, START_MS)])
+      this.synchronize('members', indices.map(index => this.member(index, START_MS)))
+      this.synchronize('targets', indices.map(index => this.targets(index, START_MS)))
     }
   }
 
@@ -110,6 +110,11 @@
     this.receive(name(from), address(from), { kind: 'gossip', ...header, updates: [...updates] })
   }
 
+  private synchronize (table: Decisions.MembershipMessages.Table, entries: readonly Decisions.MembershipMessages.Update[]): void {
+    const header = { address: address(1), incarnation: Ids.incarnation(START_MS), configuration: Ids.version(0) }
+    this.receive(name(1), address(1), { kind: 'sync-entries', ...header, table, entries: [...entries], wanted: [], more: false })
+  }
+
   private receive (from: Decisions.Ids.NodeId, at: Decisions.Ids.Endpoint, message: Decisions.Messages.Message): void {
     this.step([{ kind: 'message-received', from, address: at, message }])
   }
--- a/packages/measurements/src/main.ts
+++ b/packages/measurements/src/main.ts
@@ -1,11 +1,11 @@
 /** `npm run measure -- SUBCOMMAND`: one module in commands/ for each measurement. */
 import * as Commander from 'commander'
 import * as Capacity from './commands/capacity.js'
+import * as Detection from './commands/detection.js'
 import * as Latency from './commands/latency.js'
 
 const program = new Commander.Command('measure').description('Measurements of jasminedale').showHelpAfterError()
 Capacity.register(program)
-import * as Detection from './commands/detection.js'
 Detection.register(program)
 Latency.register(program)
 await program.parseAsync(process.argv)
