fix(routing,ejection): hold steady when a host freezes or a whole service slows

Two equal random picks of two candidates kept a quarter of the work on the frozen target. Change: a region counts as cut only after failures at two hosts; with fewer than four candidates the two picks differ; a target waits 15 to 30 s after a claim that failed because the evidence is shared.

--- a/packages/decisions/src/ejection/claimant.ts
+++ b/packages/decisions/src/ejection/claimant.ts
@@ -23,6 +23,11 @@
 const COLLECT_MILLISECONDS = 1_500
 /** Wait after a refusal, with a random part so that competing claims do not stay in step. */
 const PAUSE_MILLISECONDS = 500
+/**
+ * Wait after evidence that many targets share. Baselines follow the shared change within about 12 s at two
+ * requests a second and target; an earlier claim ejects whichever target is last to lose its evidence.
+ */
+const SHARED_PAUSE_MILLISECONDS = 15_000
 
 export class Claimant {
   private readonly claims = new Map<Ids.TargetId, Claims.Claim>()
@@ -211,7 +216,8 @@
   }
 
   private pause (claim: Claims.Claim, turn: Controllers.Turn): void {
-    this.pausedUntil.set(claim.subject.target, turn.now + PAUSE_MILLISECONDS * (1 + turn.random.fraction()))
+    const wait = claim.isShared() ? SHARED_PAUSE_MILLISECONDS : PAUSE_MILLISECONDS
+    this.pausedUntil.set(claim.subject.target, turn.now + wait * (1 + turn.random.fraction()))
   }
 
   private close (claim: Claims.Claim, turn: Controllers.Turn): void {
--- a/packages/decisions/src/routing/outcome.ts
+++ b/packages/decisions/src/routing/outcome.ts
@@ -65,7 +65,7 @@
   }
   if (region === undefined || end.kind === 'cancelled') return
   const missed = end.kind === 'unreachable' || end.kind === 'timed-out' || end.kind === 'disconnected'
-  if (missed) topology.missed(region, turn.now)
+  if (missed) topology.missed(region, attempt.node, turn.now)
   else topology.reached(region)
 }
 
--- a/packages/decisions/src/routing/selection.ts
+++ b/packages/decisions/src/routing/selection.ts
@@ -18,14 +18,18 @@
   }
 }
 
+/** With fewer candidates two equal picks are so frequent that a frozen target of two kept a quarter of the work. */
+const INDEPENDENT_MINIMUM = 4
+
 /**
- * The cheaper of two independent random picks. Both picks may be the same candidate,
+ * The cheaper of two random picks. Among several candidates both picks may be the same one,
  * so even the worst keeps a small share and its estimate stays current.
  */
 export class TwoChoices extends Selection {
   choose<Option extends Candidate> (candidates: readonly Option[], random: Randoms.Random): Option | undefined {
     const first = random.pick(candidates)
-    const second = random.pick(candidates)
+    const rest = candidates.length < INDEPENDENT_MINIMUM && candidates.length > 1 ? candidates.filter(option => option !== first) : candidates
+    const second = random.pick(rest)
     if (first === undefined || second === undefined) return first
     return second.cost < first.cost ? second : first
   }
--- a/packages/decisions/src/routing/topology.ts
+++ b/packages/decisions/src/routing/topology.ts
@@ -11,11 +11,14 @@
 const CHANGE_INTERVAL = Clock.milliseconds(100)
 /** Failures in a row to one region, without a success, after which it counts as cut. */
 const CUT_FAILURES = 3
+/** Hosts that these failures concern at least; one frozen host is no cut region. */
+const CUT_HOSTS = 2
 /** Time for which failures of this node's own attempts count a region as cut. */
 const CUT_HOLD = Clock.seconds(5)
 
 interface RegionFailures {
   consecutive: number
+  readonly hosts: Set<Ids.NodeId>
   until: Clock.Milliseconds
 }
 
@@ -43,10 +46,11 @@
     this.failures.delete(region)
   }
 
-  missed (region: Ids.Region, now: Clock.Milliseconds): void {
-    const entry = this.failures.get(region) ?? { consecutive: 0, until: Clock.milliseconds(0) }
+  missed (region: Ids.Region, host: Ids.NodeId, now: Clock.Milliseconds): void {
+    const entry = this.failures.get(region) ?? { consecutive: 0, hosts: new Set(), until: Clock.milliseconds(0) }
     entry.consecutive += 1
-    if (entry.consecutive >= CUT_FAILURES) entry.until = Clock.add(now, CUT_HOLD)
+    entry.hosts.add(host)
+    if (entry.consecutive >= CUT_FAILURES && entry.hosts.size >= CUT_HOSTS) entry.until = Clock.add(now, CUT_HOLD)
     this.failures.set(region, entry)
   }
 
