feat(measurements): measure the memory of the key ledger

Cause: CAPACITY.md had no measured slope for the key owner. Ruled out: counting record sizes by hand; maps and heaps cost as much again. Change: measure capacity fills a ledger at four sizes. Before: unknown.

--- a/packages/measurements/src/capacity/slopes.ts
+++ b/packages/measurements/src/capacity/slopes.ts
@@ -22,6 +22,7 @@
 const EXCEPTION_SIZES = [10, 100, 400, 1_600]
 const SERVICE_SIZES = [200, 425, 850, 1_700]
 const REQUEST_SIZES = [2_500, 5_000, 10_000, 20_000]
+const KEY_SIZES = [6_250, 12_500, 25_000, 50_000]
 const LOOKUPS = 2_000
 const MEGABYTE_BYTES = 1_048_576
 const { Ids } = Decisions
@@ -104,6 +105,26 @@
   return slope('services seen by an entry, heap', 'MB', SERVICE_SIZES.at(-1) ?? 0, points)
 }
 
+/** Memory of the key owner's ledger, with a stored answer of 160 bytes a key; 50,000 is its bound. */
+export function keys (): Slope {
+  const points = KEY_SIZES.map(size => {
+    const ledger = new Decisions.Ledgers.Ledger()
+    const before = heap()
+    for (let index = 0; index < size; index += 1) enter(ledger, index)
+    const value = heap() - before
+    // Reading the size keeps the ledger alive until the heap was measured.
+    return { size: ledger.size, value }
+  })
+  return slope('keys in the ledger, heap', 'MB', KEY_SIZES.at(-1) ?? 0, points)
+}
+
+function enter (ledger: Decisions.Ledgers.Ledger, index: number): void {
+  const id = `service-${index % 100} 01939f0e-7c1a-7abc-8def-${String(index).padStart(12, '0')}`
+  ledger.start(id, Decisions.Clock.milliseconds(index), Ids.signature(Decisions.Rendezvous.digest(id)), Ids.requestId(`n1.1.${index}`))
+  const record = ledger.get(id)
+  if (record !== undefined) ledger.finish(record, { kind: 'complete', status: 201, body: `${index}`.padEnd(160, 'x') })
+}
+
 /** Processor time of whole local requests. */
 export function requests (): Slope {
   const points = REQUEST_SIZES.map(size => {
--- a/packages/measurements/src/commands/capacity.ts
+++ b/packages/measurements/src/commands/capacity.ts
@@ -10,7 +10,7 @@
 }
 
 function capacity (options: Options): void {
-  const slopes = [...Slopes.nodes(), ...Slopes.exceptions(), Slopes.services(), Slopes.requests()]
+  const slopes = [...Slopes.nodes(), ...Slopes.exceptions(), Slopes.services(), Slopes.keys(), Slopes.requests()]
   const base = process.memoryUsage()
   process.stdout.write(options.json === true ? `${JSON.stringify({ slopes, base }, null, 2)}\n` : `${slopes.map(describe).join('\n')}\n`)
 }
