fix(command-line): make the command executable on a clean clone

Cause: on a clean clone 'npx jasminedale' failed with 'Permission denied': npm links and marks commands when it installs, and the build writes dist only later. The root package also named the command, so npx linked a copy of its own. Ruled out: a chmod in the build script; the link is made before it. The floor properties run 1,500, 200 and 8 times again; they had been cut to 1,000, 150 and 4 to save time in the suite, which weakened them. Before: the README's commands fail on a clean clone. Conclusion: README commands are to be run from a clone, not from the work tree.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -18,7 +18,7 @@
   stylistic.configs.customize({ indent: 2, quotes: 'single', semi: false, commaDangle: 'never', braceStyle: '1tbs', arrowParens: false }),
   {
     languageOptions: {
-      parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] }, tsconfigRootDir: import.meta.dirname }
+      parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js', 'packages/command-line/bin/jasminedale.js'] }, tsconfigRootDir: import.meta.dirname }
     },
     rules: {
       '@stylistic/space-before-function-paren': ['error', 'always'],
@@ -62,7 +62,7 @@
     rules: { '@typescript-eslint/no-floating-promises': 'off' }
   },
   {
-    files: ['eslint.config.js'],
+    files: ['eslint.config.js', 'packages/*/bin/*.js'],
     extends: [tseslint.configs.disableTypeChecked]
   }
 )
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -1,4 +1,3 @@
-#!/usr/bin/env node
 /** Executable entry. */
 import * as Program from './program.js'
 
--- a/packages/decisions/tests/ejection/floor.test.ts
+++ b/packages/decisions/tests/ejection/floor.test.ts
@@ -53,6 +53,6 @@
 }
 
 // Guards against an ejection without proof under loss, delay, duplication, cuts, pauses, restarts and stale counts.
-test('floor holds with 2 targets', () => { assertHolds(2, 1, 0.5, 1_000, 12) })
-test('floor holds with 24 targets', () => { assertHolds(6, 4, 0.7, 150, 40) })
-test('floor holds with 200 targets', () => { assertHolds(20, 10, 0.7, 4, 200) })
+test('floor holds with 2 targets', () => { assertHolds(2, 1, 0.5, 1_500, 12) })
+test('floor holds with 24 targets', () => { assertHolds(6, 4, 0.7, 200, 40) })
+test('floor holds with 200 targets', () => { assertHolds(20, 10, 0.7, 8, 200) })
