--- /dev/null
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -0,0 +1,208 @@
+/** Serves one request: chooses targets, repeats what may be repeated, and ends with one answer. */
+import * as Decisions from '@jasminedale/decisions'
+import type * as Directories from '../directory/directory.js'
+import type * as Registrations from '../directory/registration.js'
+import type * as Works from '../host/work.js'
+import type * as Metrics from '../observation/metrics.js'
+import type * as Answers from './answer.js'
+import * as HostViews from './host-views.js'
+import type * as Placements from './placement.js'
+import type * as Requests from './request.js'
+import type * as RetryBudgets from './retry-budget.js'
+import type * as Senders from './sender.js'
+
+export interface DispatchParts {
+  readonly clock: Decisions.Clock.Clock
+  readonly directory: Directories.Directory
+  readonly views: HostViews.HostViews
+  readonly placer: Placements.Placer
+  readonly budget: RetryBudgets.RetryBudget
+  readonly sender: Pick<Senders.Sender, 'send'>
+  readonly metrics: Metrics.Metrics
+}
+
+/** One attempt, as it is logged. */
+interface Step {
+  readonly target: Decisions.Ids.TargetId
+  readonly startedAt: Decisions.Clock.Milliseconds
+  result: string
+}
+
+const SERVER_ERROR = 500
+/** Share of the latency objective after which a silent repeatable request is tried elsewhere too: time for a second run is left. */
+const HEDGE_SHARE = 0.5
+/** Attempts that may be refused before a host may queue the request. */
+const REFUSALS_BEFORE_QUEUE = 2
+/** Refusals after which the request is given up. */
+const REFUSALS_MAXIMUM = 8
+/** Share of the latency objective for which a request waits for a target to take work again. */
+const WAIT_SHARE = 0.25
+/** Pause between looks for a target while none takes work. */
+const WAIT_STEP_MAXIMUM = 50
+/** Time after the deadline within which attempts report what became of them. */
+const DEADLINE_MARGIN = 10
+/** Pause for the caller when nothing says when a target will take work again. */
+const RETRY_AFTER_DEFAULT = 300
+
+export class Dispatch {
+  readonly answer: Promise<Answers.Answer>
+  readonly steps: Step[] = []
+  private resolve: (answer: Answers.Answer) => void = () => { /* Set by the promise. */ }
+  private readonly active = new Map<Senders.Sending, Step>()
+  private readonly excluded = new Set<Decisions.Ids.TargetId>()
+  private readonly timers = new Set<NodeJS.Timeout>()
+  private over = false
+  /** Targets on which the request ran or may run. */
+  private runs = 0
+  private refusals = 0
+  private shed = false
+  private lastError: Answers.Answer | undefined
+  private lastRefusal: Answers.Answer | undefined
+  private waitedSince: Decisions.Clock.Milliseconds | undefined
+
+  constructor (private readonly request: Requests.EntryRequest, private readonly parts: DispatchParts) {
+    this.answer = new Promise(resolve => { this.resolve = resolve })
+    parts.budget.first(request.service, parts.clock.now())
+    this.after(request.deadline - parts.clock.now() + DEADLINE_MARGIN, () => { this.expire() })
+    this.next()
+  }
+
+  /** The caller has left. */
+  abandon (): void {
+    this.finish({ kind: 'abandoned' })
+  }
+
+  private next (): void {
+    if (this.over) return
+    const { request, parts } = this
+    const now = parts.clock.now()
+    const candidates = parts.directory.ready(request.service)
+    const wish = { repeatable: request.route.repeatable, excluded: this.excluded }
+    const chosen = parts.placer.choose(candidates, wish, now)
+    if (chosen === undefined) {
+      this.lackTarget(candidates, now)
+      return
+    }
+    const repeats = this.runs > 0 || this.shed
+    if (repeats && !parts.budget.take(request.service, parts.directory.readyCount, now)) {
+      this.giveUp({ kind: 'not-run', reason: 'target-shed', retryAfter: RETRY_AFTER_DEFAULT })
+      return
+    }
+    this.start(chosen, now)
+  }
+
+  private start (registration: Registrations.Registration, now: Decisions.Clock.Milliseconds): void {
+    const { request, parts } = this
+    const view = parts.views.of(registration.target)
+    const full = HostViews.busyness(view, now) >= registration.slots
+    const sending = parts.sender.send(request, registration, full || this.refusals >= REFUSALS_BEFORE_QUEUE)
+    const step: Step = { target: registration.target, startedAt: now, result: 'open' }
+    this.steps.push(step)
+    this.active.set(sending, step)
+    this.excluded.add(registration.target)
+    this.runs += 1
+    if (this.mayRepeat()) this.after(HEDGE_SHARE * request.route.latencyObjective, () => { this.hedge(sending) })
+    void sending.outcome.then(outcome => { this.ended(sending, outcome) })
+  }
+
+  private mayRepeat (): boolean {
+    return this.request.route.repeatable && this.runs < this.request.route.attempts
+  }
+
+  /** The attempt is silent; the first of two answers is used. */
+  private hedge (sending: Senders.Sending): void {
+    if (this.over || !this.active.has(sending) || !this.mayRepeat()) return
+    this.next()
+  }
+
+  private ended (sending: Senders.Sending, outcome: Works.Outcome): void {
+    const step = this.active.get(sending)
+    this.active.delete(sending)
+    if (step === undefined || this.over) return
+    step.result = this.nameOf(outcome, step)
+    this.parts.metrics.attempted(this.request.service, outcome.kind === 'answered' ? String(outcome.response.status) : step.result)
+    switch (outcome.kind) {
+      case 'answered': this.answered({ kind: 'response', response: outcome.response }, outcome.response.status); break
+      case 'refused': this.refused(outcome.reason, outcome.retryAfter); break
+      case 'failed': this.failed({ kind: 'unknown', reason: outcome.reason }); break
+      case 'withdrawn': this.failed({ kind: 'unknown', reason: 'timed-out' }); break
+    }
+  }
+
+  private nameOf (outcome: Works.Outcome, step: Step): string {
+    const elapsed = Math.round(this.parts.clock.now() - step.startedAt)
+    const name = outcome.kind === 'answered' ? String(outcome.response.status) : outcome.kind === 'withdrawn' ? outcome.kind : outcome.reason
+    return `${name}@${elapsed}`
+  }
+
+  private answered (answer: Answers.Answer, status: number): void {
+    if (status < SERVER_ERROR) this.finish(answer)
+    else this.failed(answer)
+  }
+
+  private failed (answer: Answers.Answer): void {
+    // A server's own error says more than a lost connection.
+    if (this.lastError?.kind !== 'response') this.lastError = answer
+    if (this.mayRepeat()) this.next()
+    else this.giveUp(answer)
+  }
+
+  private refused (reason: Works.RefusalReason, retryAfter: number): void {
+    this.runs -= 1
+    this.refusals += 1
+    if (reason === 'target-shed') this.shed = true
+    this.lastRefusal = { kind: 'not-run', reason, retryAfter }
+    if (this.refusals >= REFUSALS_MAXIMUM || reason === 'too-late') this.giveUp(this.lastRefusal)
+    else if (this.runs === 0 || this.mayRepeat()) this.next()
+    else this.giveUp(this.lastRefusal)
+  }
+
+  /** No target takes the request now. Waits shortly, since pauses after a failure are short, then refuses. */
+  private lackTarget (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): void {
+    const opening = this.parts.placer.nextOpening(candidates, now) ?? RETRY_AFTER_DEFAULT
+    this.waitedSince ??= now
+    const limit = this.waitedSince + WAIT_SHARE * this.request.route.latencyObjective
+    if (this.runs > 0 || now >= limit) {
+      this.giveUp(this.lastRefusal ?? { kind: 'not-run', reason: 'no-target', retryAfter: Math.max(opening, RETRY_AFTER_DEFAULT) })
+      return
+    }
+    // Targets that were full or paused a moment ago may take work now.
+    this.excluded.clear()
+    this.after(Math.min(Math.max(opening, 1), WAIT_STEP_MAXIMUM), () => { this.next() })
+  }
+
+  /** Ends the request unless an attempt still runs. */
+  private giveUp (reason: Answers.Answer): void {
+    if (this.active.size > 0) return
+    this.finish(this.lastError ?? reason)
+  }
+
+  private expire (): void {
+    if (this.over) return
+    if (this.active.size === 0) {
+      this.finish(this.lastError ?? { kind: 'not-run', reason: 'too-late', retryAfter: RETRY_AFTER_DEFAULT })
+      return
+    }
+    // Withdrawn attempts that were not confirmed report a refusal; the answer follows from their outcomes.
+    for (const sending of [...this.active.keys()]) sending.withdraw()
+  }
+
+  private finish (answer: Answers.Answer): void {
+    if (this.over) return
+    this.over = true
+    for (const timer of this.timers) clearTimeout(timer)
+    for (const [sending, step] of this.active) {
+      step.result = this.nameOf({ kind: 'withdrawn' }, step)
+      sending.withdraw()
+    }
+    this.resolve(answer)
+  }
+
+  private after (duration: number, action: () => void): void {
+    const timer = setTimeout(() => {
+      this.timers.delete(timer)
+      action()
+    }, Math.max(0, duration))
+    this.timers.add(timer)
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/entry/placement.ts
@@ -0,0 +1,90 @@
+/** Chooses the target of an attempt: usable, near and cheap. */
+import * as Decisions from '@jasminedale/decisions'
+import type * as Registrations from '../directory/registration.js'
+import * as HostViews from './host-views.js'
+
+export interface Place {
+  readonly host: Decisions.Ids.Endpoint
+  readonly dataCenter: Decisions.Ids.DataCenter
+  readonly region: Decisions.Ids.Region
+}
+
+export interface Wish {
+  readonly repeatable: boolean
+  /** Targets that already ran the request or refused it. */
+  readonly excluded: ReadonlySet<Decisions.Ids.TargetId>
+}
+
+type Distance = 0 | 1 | 2 | 3
+
+/**
+ * Cost of a farther target in units of one slot's load: bytes between zones and regions are paid for,
+ * so work leaves a zone only when that zone is about that much busier.
+ */
+const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 0.6, 3: 1.2 }
+/** Extra cost of a target whose recovery is not confirmed, for requests that must not fail there. */
+const UNCONFIRMED_COST = 0.8
+/** Ratio to the mean service time of the candidates beyond which slowness counts no further. */
+const SLOWNESS_MAXIMUM = 10
+
+interface Option {
+  readonly registration: Registrations.Registration
+  readonly distance: Distance
+  readonly cost: number
+}
+
+export function distanceOf (place: Place, registration: Registrations.Registration): Distance {
+  if (registration.host === place.host) return 0
+  if (registration.dataCenter === place.dataCenter) return 1
+  return registration.region === place.region ? 2 : 3
+}
+
+export class Placer {
+  /** Two random picks bound the herd that stale reports would send to the one cheapest target. */
+  private readonly selection = new Decisions.Selections.TwoChoices()
+
+  constructor (
+    private readonly place: Place,
+    private readonly views: HostViews.HostViews,
+    private readonly random: Decisions.Random.Random
+  ) {}
+
+  /** The target of the next attempt, or undefined when none is usable. */
+  choose (candidates: readonly Registrations.Registration[], wish: Wish, now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
+    const usable = candidates.filter(candidate => !wish.excluded.has(candidate.target) && this.views.of(candidate.target).avoidedUntil <= now)
+    const open = usable.filter(candidate => (HostViews.closedFor(this.views.of(candidate.target), now) ?? 0) <= 0)
+    const reference = this.meanServiceTime(open)
+    const options = open.map(candidate => this.option(candidate, wish, reference, now))
+    let best: Option | undefined
+    for (const distance of [0, 1, 2, 3] as const) {
+      const chosen = this.selection.choose(options.filter(option => option.distance === distance), this.random)
+      if (chosen !== undefined && (best === undefined || chosen.cost < best.cost)) best = chosen
+    }
+    return best?.registration
+  }
+
+  /** Milliseconds until a closed or avoided target may be tried again; undefined when there is none. */
+  nextOpening (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): number | undefined {
+    const waits = candidates.map(candidate => {
+      const view = this.views.of(candidate.target)
+      return Math.max(HostViews.closedFor(view, now) ?? 0, view.avoidedUntil - now)
+    })
+    return waits.length === 0 ? undefined : Math.max(0, Math.min(...waits))
+  }
+
+  private option (registration: Registrations.Registration, wish: Wish, reference: number, now: Decisions.Clock.Milliseconds): Option {
+    const view = this.views.of(registration.target)
+    const distance = distanceOf(this.place, registration)
+    const own = HostViews.serviceTime(view)
+    const slowness = own > 0 && reference > 0 ? Math.min(own / reference, SLOWNESS_MAXIMUM) : 1
+    const unconfirmed = !wish.repeatable && HostViews.closedFor(view, now) !== undefined ? UNCONFIRMED_COST : 0
+    const load = (HostViews.busyness(view, now) + 1) / registration.slots
+    return { registration, distance, cost: load * slowness + DISTANCE_COST[distance] + unconfirmed }
+  }
+
+  private meanServiceTime (candidates: readonly Registrations.Registration[]): number {
+    const known = candidates.map(candidate => HostViews.serviceTime(this.views.of(candidate.target))).filter(time => time > 0)
+    if (known.length === 0) return 0
+    return known.reduce((sum, time) => sum + time, 0) / known.length
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/entry/request.ts
@@ -0,0 +1,17 @@
+/** A caller's request at its entry. */
+import type * as Decisions from '@jasminedale/decisions'
+import type * as Routes from '../routes/route.js'
+
+export interface EntryRequest {
+  readonly id: Decisions.Ids.RequestId
+  readonly method: string
+  readonly path: string
+  /** Fields to pass on. */
+  readonly headers: readonly string[]
+  readonly body: Buffer
+  readonly route: Routes.Route
+  readonly service: Decisions.Ids.Service
+  readonly arrivedAt: Decisions.Clock.Milliseconds
+  /** The caller's deadline or the route's timeout, whichever is earlier. */
+  readonly deadline: Decisions.Clock.Milliseconds
+}
--- /dev/null
+++ b/packages/proxy/src/entry/sender.ts
@@ -0,0 +1,152 @@
+/** Makes one attempt at a chosen target, on this node or through the target's host. */
+import * as Decisions from '@jasminedale/decisions'
+import type * as Registrations from '../directory/registration.js'
+import * as Forwarding from '../host/forwarding.js'
+import type * as Hosts from '../host/host.js'
+import type * as Works from '../host/work.js'
+import type * as Connections from '../transport/connections.js'
+import * as Exchanges from '../transport/exchange.js'
+import type * as Requests from './request.js'
+import type * as HostViews from './host-views.js'
+import type * as Placements from './placement.js'
+
+/** Time for a connection to another node; round trips take up to 16 ms, and a slowed VM several times that. */
+const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(250)
+/** Time for a host to confirm a request or to say that it waits in its queue. */
+const CONFIRM_TIMEOUT = Decisions.Clock.milliseconds(300)
+/** A response that has begun to arrive by the deadline may take this much longer between nodes. */
+const ARRIVAL_MARGIN = Decisions.Clock.milliseconds(40)
+const RESPONSE_LIMIT = 67_108_864
+/** Pause after a host said that it does not serve the target. */
+const ABSENT_PAUSE = Decisions.Clock.seconds(1)
+
+export interface SenderParts {
+  readonly clock: Decisions.Clock.Clock
+  readonly host: Hosts.Host
+  readonly place: Placements.Place
+  readonly origin: Decisions.Ids.Service
+  readonly views: HostViews.HostViews
+  readonly connections: Connections.Connections
+  /** Called with the version that another node has in force. */
+  readonly versionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
+}
+
+/** An attempt that can be withdrawn. */
+export interface Sending {
+  readonly target: Decisions.Ids.TargetId
+  readonly outcome: Promise<Works.Outcome>
+  withdraw (): void
+}
+
+export class Sender {
+  constructor (private readonly parts: SenderParts) {}
+
+  send (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
+    const view = this.parts.views.of(registration.target)
+    view.inFlight += 1
+    const sending = registration.host === this.parts.place.host
+      ? this.sendLocally(request, registration, mayWait)
+      : this.forward(request, registration, mayWait)
+    void sending.outcome.finally(() => { view.inFlight -= 1 })
+    return sending
+  }
+
+  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
+    const listeners: (() => void)[] = []
+    const { target } = registration
+    const { host, clock, views, origin } = this.parts
+    const outcome = host.run({
+      request: request.id,
+      target,
+      origin,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      repeatable: request.route.repeatable,
+      priority: request.route.priority,
+      deadline: request.deadline,
+      latencyObjective: request.route.latencyObjective,
+      mayWait,
+      commit: () => Promise.resolve(request.body),
+      onWithdrawn: listener => { listeners.push(listener) }
+    }).then(ended => {
+      views.reported(target, host.report(), clock.now())
+      this.absent(target, ended)
+      return ended
+    })
+    return { target, outcome, withdraw: () => { for (const listener of listeners) listener() } }
+  }
+
+  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
+    const { clock, connections, origin } = this.parts
+    const { target } = registration
+    const remaining = Decisions.Clock.between(clock.now(), request.deadline)
+    const terms = Forwarding.formatTerms({
+      target, remaining, latencyObjective: request.route.latencyObjective, priority: request.route.priority,
+      repeatable: request.route.repeatable, mayWait, origin
+    })
+    const exchange = new Exchanges.Exchange({
+      address: registration.host,
+      method: request.method,
+      path: request.path,
+      headers: [...request.headers, ...terms],
+      body: request.body,
+      timeout: Decisions.Clock.add(remaining, ARRIVAL_MARGIN),
+      connectTimeout: Decisions.Clock.milliseconds(Math.min(CONNECT_TIMEOUT, remaining)),
+      responseLimit: RESPONSE_LIMIT,
+      connections,
+      confirmed: !request.route.repeatable,
+      confirmTimeout: Decisions.Clock.milliseconds(Math.min(CONFIRM_TIMEOUT, remaining))
+    })
+    let withdrawn = false
+    const outcome = exchange.end.then(end => withdrawn ? withdrawal(end) : this.read(registration, end))
+    return {
+      target,
+      outcome,
+      withdraw: () => {
+        withdrawn = true
+        exchange.cancel('requester withdrew')
+      }
+    }
+  }
+
+  private read ({ target, host }: Registrations.Registration, end: Exchanges.ExchangeEnd): Works.Outcome {
+    const { clock, views, versionSeen } = this.parts
+    const now = clock.now()
+    switch (end.kind) {
+      case 'not-sent': return { kind: 'refused', reason: 'host-unreachable', retryAfter: views.unreachable(target, now) }
+      case 'lost':
+        views.unreachable(target, now)
+        return { kind: 'failed', reason: 'host-lost', detail: end.reason }
+      case 'answered': {
+        const { outcome, report } = Forwarding.parseOutcome(end.response)
+        if (report !== undefined) {
+          views.reported(target, report, now)
+          versionSeen(report.version, host)
+        }
+        this.absent(target, outcome)
+        return outcome
+      }
+    }
+  }
+
+  /** The directory follows within a second; until then the target is not asked again. */
+  private absent (target: Decisions.Ids.TargetId, outcome: Works.Outcome): void {
+    if (outcome.kind !== 'refused') return
+    switch (outcome.reason) {
+      case 'node-leaving':
+      case 'target-unknown':
+      case 'target-leaving':
+      case 'target-changed':
+      case 'target-unreachable':
+        this.parts.views.avoid(target, ABSENT_PAUSE, this.parts.clock.now())
+        break
+      default: break
+    }
+  }
+}
+
+/** What a withdrawn attempt proves: without confirmation the host has not run it. */
+function withdrawal (end: Exchanges.ExchangeEnd): Works.Outcome {
+  return end.kind === 'not-sent' ? { kind: 'refused', reason: 'too-late', retryAfter: 0 } : { kind: 'withdrawn' }
+}
--- /dev/null
+++ b/packages/proxy/src/host/host-server.ts
@@ -0,0 +1,84 @@
+/** Takes requests that other nodes forward to the local target. */
+import type * as Http from 'node:http'
+import * as Decisions from '@jasminedale/decisions'
+import type * as Dialects from '../transport/dialect.js'
+import * as Bodies from '../transport/body.js'
+import * as Forwarding from './forwarding.js'
+import type * as Hosts from './host.js'
+import type * as Works from './work.js'
+
+/** Largest body of a forwarded request in bytes; entries apply the operators' limit before. */
+const BODY_LIMIT = 67_108_864
+const STATUS_FORBIDDEN = 403
+
+export interface HostServerParts {
+  readonly clock: Decisions.Clock.Clock
+  readonly dialect: Dialects.Dialect
+  readonly host: Hosts.Host
+}
+
+export class HostServer {
+  private open = 0
+
+  constructor (private readonly parts: HostServerParts) {}
+
+  /** Forwarded requests that are not answered yet. */
+  get inFlight (): number {
+    return this.open
+  }
+
+  /** Handles a request. `unconfirmed`: its sender waits for 100 Continue before it sends the body. */
+  async handle (request: Http.IncomingMessage, response: Http.ServerResponse, unconfirmed: boolean): Promise<void> {
+    const terms = Forwarding.parseTerms(request.rawHeaders)
+    response.sendDate = false
+    if (terms === undefined) {
+      response.writeHead(STATUS_FORBIDDEN, { connection: 'close' }).end()
+      return
+    }
+    this.open += 1
+    response.once('close', () => { this.open -= 1 })
+    const { host } = this.parts
+    let confirmed = false
+    const outcome = host.run(this.workOf(request, response, terms, async () => {
+      confirmed = true
+      if (unconfirmed) response.writeContinue()
+      const body = await Bodies.read(request, BODY_LIMIT)
+      return body.isOk() ? body.value : undefined
+    }))
+    // Tells the sender that the request is in the queue, so that it does not take the silence for a failure.
+    if (unconfirmed) setImmediate(() => { if (!confirmed && !response.headersSent && !response.destroyed) response.writeProcessing() })
+    const { status, headers, body } = Forwarding.formatOutcome(await outcome, host.report())
+    if (response.destroyed) return
+    request.resume()
+    response.writeHead(status, [...headers, 'Content-Length', String(body.length)])
+    response.end(request.method === 'HEAD' ? undefined : body)
+  }
+
+  private workOf (request: Http.IncomingMessage, response: Http.ServerResponse, terms: Forwarding.Terms, commit: Works.Work['commit']): Works.Work {
+    const { clock, dialect } = this.parts
+    return {
+      request: dialect.callerTerms(request.rawHeaders).request ?? Decisions.Ids.requestId(''),
+      target: terms.target,
+      origin: terms.origin,
+      method: request.method ?? 'GET',
+      path: request.url ?? '',
+      headers: withoutTerms(request.rawHeaders),
+      repeatable: terms.repeatable,
+      priority: terms.priority,
+      deadline: Decisions.Clock.add(clock.now(), terms.remaining),
+      latencyObjective: terms.latencyObjective,
+      mayWait: terms.mayWait,
+      commit,
+      onWithdrawn: listener => { response.once('close', () => { if (!response.writableFinished) listener() }) }
+    }
+  }
+}
+
+function withoutTerms (headers: readonly string[]): string[] {
+  const kept: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] ?? ''
+    if (!Forwarding.BETWEEN_NODES.has(name.toLowerCase())) kept.push(name, headers[index + 1] ?? '')
+  }
+  return kept
+}
--- /dev/null
+++ b/packages/proxy/src/host/host.ts
@@ -0,0 +1,250 @@
+/** Runs work on the local target: the only place from which the target gets requests. */
+import * as Decisions from '@jasminedale/decisions'
+import type * as Logs from '../observation/log.js'
+import type * as Metrics from '../observation/metrics.js'
+import * as Connections from '../transport/connections.js'
+import type * as Dialects from '../transport/dialect.js'
+import * as Exchanges from '../transport/exchange.js'
+import * as Headers from '../transport/headers.js'
+import * as Gates from './gate.js'
+import type * as HostReports from './host-report.js'
+import type * as LocalTargets from './local-target.js'
+import * as ServiceTimes from './service-time.js'
+import * as Slots from './slots.js'
+import * as Works from './work.js'
+
+const SERVER_ERROR = 500
+/** Connections to the local target open within a round trip on the same machine. */
+const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
+/** Largest response that is held in memory, in bytes. */
+const RESPONSE_LIMIT = 67_108_864
+/** Pause after which a requester may try a full target again. */
+const BUSY_RETRY = 50
+/** Pause after which a requester may look for a target that is gone; the directory follows within it. */
+const ABSENT_RETRY = 1_000
+
+export interface HostParts {
+  readonly clock: Decisions.Clock.Clock
+  readonly dialect: Dialects.Dialect
+  readonly log: Logs.Log
+  readonly metrics: Metrics.Metrics
+  readonly localTarget: LocalTargets.LocalTarget
+  /** Address of the local target. */
+  readonly targetAddress: Decisions.Ids.Endpoint
+  readonly version: () => Decisions.Ids.Version
+}
+
+export class Host {
+  private readonly parts: HostParts
+  private readonly gate = new Gates.Gate()
+  private readonly slots = new Slots.Slots()
+  private readonly serviceTime = new ServiceTimes.ServiceTime()
+  private readonly connections = new Connections.Connections()
+  private leaving = false
+
+  constructor (parts: HostParts) {
+    this.parts = parts
+  }
+
+  /** The local target was replaced or restarted: nothing that was learned applies to it. */
+  targetReplaced (slots: number): void {
+    this.gate.reset()
+    this.slots.resize(slots)
+  }
+
+  /** Refuses work from now on, because this node stops. */
+  leave (): void {
+    this.leaving = true
+  }
+
+  /** Requests that hold a slot of the target. */
+  get running (): number {
+    return this.slots.busy
+  }
+
+  report (): HostReports.HostReport {
+    const now = this.parts.clock.now()
+    return {
+      running: this.slots.busy,
+      waiting: this.slots.waiting,
+      slots: this.slots.capacity,
+      closedFor: this.gate.closedFor(now),
+      serviceTime: this.serviceTime.mean,
+      version: this.parts.version()
+    }
+  }
+
+  async run (work: Works.Work): Promise<Works.Outcome> {
+    const passage = this.admit(work)
+    if (typeof passage !== 'string') return this.refused(work, passage)
+    const entered = await this.enter(work)
+    if (entered !== 'started') {
+      this.gate.abandoned(passage)
+      return this.refused(work, Works.refused(entered, BUSY_RETRY))
+    }
+    try {
+      return await this.runInSlot(work, passage)
+    } finally {
+      this.slots.release(this.serviceTime.mean, this.parts.clock.now())
+    }
+  }
+
+  /** The gate's passage, or why the request cannot run here. */
+  private admit (work: Works.Work): Gates.Passage | Works.Outcome {
+    const refusal = this.unavailable(work)
+    if (refusal !== undefined) return refusal
+    const now = this.parts.clock.now()
+    const passage = this.gate.admit(work.repeatable, now)
+    if (passage === 'closed') return Works.refused('target-closed', this.gate.closedFor(now) ?? BUSY_RETRY)
+    return passage
+  }
+
+  private unavailable (work: Works.Work): Works.Outcome | undefined {
+    const announced = this.parts.localTarget.announced
+    if (this.leaving) return Works.refused('node-leaving', ABSENT_RETRY)
+    if (announced === undefined || announced.target !== work.target) return Works.refused('target-unknown', ABSENT_RETRY)
+    if (announced.state !== 'ready') return Works.refused('target-leaving', ABSENT_RETRY)
+    return undefined
+  }
+
+  /** Waits for a slot of the target. */
+  private async enter (work: Works.Work): Promise<'started' | 'target-busy' | 'too-late'> {
+    const now = this.parts.clock.now()
+    if (this.slots.hasRoom()) {
+      this.slots.take()
+      return 'started'
+    }
+    if (!work.mayWait) return 'target-busy'
+    if (!this.slots.canWait(work, this.serviceTime.mean, now)) return 'too-late'
+    return await new Promise(resolve => {
+      const waiting = {
+        priority: work.priority,
+        deadline: work.deadline,
+        start: () => { resolve('started') },
+        expire: () => { resolve('too-late') }
+      }
+      this.slots.enqueue(waiting)
+      work.onWithdrawn(() => { if (this.slots.remove(waiting)) resolve('too-late') })
+    })
+  }
+
+  private async runInSlot (work: Works.Work, passage: Gates.Passage): Promise<Works.Outcome> {
+    const body = await work.commit()
+    // The target may have left or failed while the request waited or was confirmed.
+    const refusal = this.unavailable(work) ?? (passage === 'pass' ? this.closed(work) : undefined)
+    if (body === undefined || refusal !== undefined) {
+      this.gate.abandoned(passage)
+      return this.refused(work, refusal ?? Works.refused('too-late', BUSY_RETRY))
+    }
+    const startedAt = this.parts.clock.now()
+    const exchange = this.send(work, body, startedAt)
+    let withdrawn = false
+    work.onWithdrawn(() => {
+      withdrawn = true
+      exchange.cancel('requester withdrew')
+    })
+    const silence = setTimeout(() => { this.suspect(work, passage) }, work.latencyObjective)
+    const end = await exchange.end
+    clearTimeout(silence)
+    const elapsed = Decisions.Clock.between(startedAt, this.parts.clock.now())
+    const outcome = withdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(work, end)
+    this.observe(work, outcome, passage, elapsed)
+    return outcome
+  }
+
+  private closed (work: Works.Work): Works.Outcome | undefined {
+    const closedFor = this.gate.closedFor(this.parts.clock.now())
+    return closedFor === undefined || work.repeatable ? undefined : Works.refused('target-closed', closedFor)
+  }
+
+  private send (work: Works.Work, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
+    const remaining = Decisions.Clock.between(now, work.deadline)
+    const { dialect, targetAddress } = this.parts
+    const fields = dialect.targetFields({ target: work.target, origin: work.origin, remaining })
+    return new Exchanges.Exchange({
+      address: targetAddress,
+      method: work.method,
+      path: work.path,
+      headers: [...Headers.passedOn(work.headers, dialect.reserved), ...fields],
+      body,
+      timeout: remaining,
+      connectTimeout: CONNECT_TIMEOUT,
+      responseLimit: RESPONSE_LIMIT,
+      connections: this.connections,
+      confirmed: false,
+      confirmTimeout: CONNECT_TIMEOUT
+    })
+  }
+
+  private outcomeOf (work: Works.Work, end: Exchanges.ExchangeEnd): Works.Outcome {
+    if (end.kind === 'not-sent') return Works.refused('target-unreachable', ABSENT_RETRY)
+    if (end.kind === 'lost') {
+      const timedOut = this.parts.clock.now() >= work.deadline
+      return { kind: 'failed', reason: timedOut ? 'timed-out' : 'connection-lost', detail: end.reason }
+    }
+    const { response } = end
+    const signs = this.parts.dialect.targetSigns(response)
+    if (signs.request !== undefined && signs.request !== work.request) {
+      return { kind: 'failed', reason: 'response-invalid', detail: `response belongs to request ${signs.request}` }
+    }
+    if (signs.misdirected) return Works.refused('target-changed', ABSENT_RETRY)
+    if (signs.notRun) return Works.refused('target-shed', BUSY_RETRY)
+    if (response.status < SERVER_ERROR && (!signs.signed || signs.altered)) {
+      return { kind: 'failed', reason: 'response-invalid', detail: signs.altered ? 'content encoding was added' : 'response is not signed' }
+    }
+    return { kind: 'answered', response }
+  }
+
+  /** A target that stays silent for longer than the route's objective is treated as failing until it answers. */
+  private suspect (work: Works.Work, passage: Gates.Passage): void {
+    this.gate.failed(passage, this.parts.clock.now())
+    this.parts.log.info('target silent beyond the latency objective; holding non-idempotent work back', {
+      request: work.request, target: work.target, objective: work.latencyObjective, closedFor: this.gate.closedFor(this.parts.clock.now())
+    })
+  }
+
+  private observe (work: Works.Work, outcome: Works.Outcome, passage: Gates.Passage, elapsed: Decisions.Clock.Milliseconds): void {
+    const { log, metrics, clock } = this.parts
+    const now = clock.now()
+    switch (outcome.kind) {
+      case 'answered': {
+        const failed = outcome.response.status >= SERVER_ERROR
+        metrics.worked(failed ? 'error' : 'success', elapsed)
+        if (!failed) {
+          this.serviceTime.add(elapsed)
+          this.gate.succeeded(passage)
+          break
+        }
+        this.gate.failed(passage, now)
+        log.info('target answered with an error; holding non-idempotent work back', {
+          request: work.request, target: work.target, status: outcome.response.status, elapsed, passage, closedFor: this.gate.closedFor(now)
+        })
+        break
+      }
+      case 'failed':
+        metrics.worked(outcome.reason, elapsed)
+        this.gate.failed(passage, now)
+        log.warn('target gave no valid response', { request: work.request, target: work.target, reason: outcome.reason, detail: outcome.detail, elapsed })
+        break
+      case 'refused':
+        this.observeRefusal(work, outcome.reason, passage, now)
+        break
+      case 'withdrawn':
+        metrics.worked('withdrawn', elapsed)
+        this.gate.abandoned(passage)
+        break
+    }
+  }
+
+  private observeRefusal (work: Works.Work, reason: Works.RefusalReason, passage: Gates.Passage, now: Decisions.Clock.Milliseconds): void {
+    if (reason === 'target-unreachable') this.gate.failed(passage, now)
+    else this.gate.abandoned(passage)
+    this.parts.log.info('target did not run the request', { request: work.request, target: work.target, reason })
+  }
+
+  private refused (work: Works.Work, refusal: Works.Outcome): Works.Outcome {
+    if (refusal.kind === 'refused') this.parts.metrics.hostRefused(refusal.reason)
+    this.parts.log.debug('work refused', { request: work.request, target: work.target, reason: refusal.kind === 'refused' ? refusal.reason : refusal.kind })
+    return refusal
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/membership.ts
@@ -0,0 +1,61 @@
+/** Takes announcements of the backend server on this VM and registers it. */
+import type * as Decisions from '@jasminedale/decisions'
+import type * as Directories from './directory/directory.js'
+import type * as Registrations from './directory/registration.js'
+import type * as Hosts from './host/host.js'
+import type * as LocalTargets from './host/local-target.js'
+import type * as Logs from './observation/log.js'
+import type * as Settings from './settings.js'
+import type * as Registrars from './state/registrar.js'
+
+export interface MembershipParts {
+  readonly settings: Settings.ProxySettings
+  readonly log: Logs.Log
+  readonly directory: Directories.Directory
+  readonly localTarget: LocalTargets.LocalTarget
+  readonly host: Hosts.Host
+  readonly registrar: Registrars.Registrar
+}
+
+export class Membership {
+  private readonly parts: MembershipParts
+
+  constructor (parts: MembershipParts) {
+    this.parts = parts
+  }
+
+  /** Takes an announcement over. The promise ends when the change, if any, is in the shared log. */
+  async announced (announcement: LocalTargets.Announcement): Promise<void> {
+    const { localTarget, log, host, directory } = this.parts
+    const before = localTarget.announced
+    const known = directory.get(announcement.target)
+    const outdated = known !== undefined && known.state !== 'ready' && known.sequence >= announcement.sequence && known.incarnation >= announcement.incarnation
+    const verdict = outdated ? 'outdated' : localTarget.hear(announcement)
+    if (verdict === 'unchanged') return
+    const { target, state, sequence, incarnation } = announcement
+    log.info(`announcement of the local target: ${verdict}`, { target, state, sequence, incarnation, before: before?.target, stateBefore: before?.state })
+    if (verdict === 'outdated') return
+    if (before?.incarnation !== incarnation || before.target !== target) host.targetReplaced(announcement.slots)
+    await this.register(announcement)
+  }
+
+  /** Goodbye of a backend server. Nothing is sent to it from now on. */
+  async left (target: Decisions.Ids.TargetId): Promise<void> {
+    const { localTarget, log } = this.parts
+    if (!localTarget.leave(target)) {
+      log.info('goodbye of a target that is not the current one', { target, current: localTarget.announced?.target })
+      return
+    }
+    log.info('local target said goodbye', { target })
+    if (localTarget.announced !== undefined) await this.register(localTarget.announced)
+  }
+
+  private async register (announcement: LocalTargets.Announcement): Promise<void> {
+    const { settings, directory, registrar } = this.parts
+    const { target, service, slots, state, incarnation, sequence } = announcement
+    const { host, dataCenter, region } = settings.place
+    const registration: Registrations.Registration = { target, service, host, dataCenter, region, slots, state, incarnation, sequence }
+    directory.merge(registration)
+    await registrar.publish(registration)
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/observation/metrics.ts
@@ -0,0 +1,63 @@
+/** Counters and latency histograms in the Prometheus text format. */
+import * as Prometheus from 'prom-client'
+
+const MILLISECONDS_PER_SECOND = 1_000
+/** Bucket bounds in seconds, around the users' latency objectives of 0.2 to 1.5 s. */
+const LATENCY_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4]
+
+export class Metrics {
+  private readonly registry = new Prometheus.Registry()
+  private readonly requests = new Prometheus.Histogram({
+    name: 'jasminedale_request_seconds', help: 'Time from the arrival of a request to its answer.', labelNames: ['service', 'outcome'],
+    buckets: LATENCY_BUCKETS, registers: [this.registry]
+  })
+
+  private readonly attempts = new Prometheus.Counter({
+    name: 'jasminedale_attempts_total', help: 'Attempts of this entry by what became of them.', labelNames: ['service', 'result'], registers: [this.registry]
+  })
+
+  private readonly targetWork = new Prometheus.Histogram({
+    name: 'jasminedale_target_seconds', help: 'Time of requests at the local target.', labelNames: ['result'], buckets: LATENCY_BUCKETS, registers: [this.registry]
+  })
+
+  private readonly refusals = new Prometheus.Counter({
+    name: 'jasminedale_host_refusals_total', help: 'Requests that this host refused without running them.', labelNames: ['reason'], registers: [this.registry]
+  })
+
+  private readonly storeCalls = new Prometheus.Counter({
+    name: 'jasminedale_store_calls_total', help: 'Calls to the shared log.', labelNames: ['call', 'result'], registers: [this.registry]
+  })
+
+  private readonly version = new Prometheus.Gauge({
+    name: 'jasminedale_configuration_version', help: 'Configuration version in force.', registers: [this.registry]
+  })
+
+  answered (service: string, outcome: string, elapsed: number): void {
+    this.requests.observe({ service, outcome }, elapsed / MILLISECONDS_PER_SECOND)
+  }
+
+  attempted (service: string, result: string): void {
+    this.attempts.inc({ service, result })
+  }
+
+  worked (result: string, elapsed: number): void {
+    this.targetWork.observe({ result }, elapsed / MILLISECONDS_PER_SECOND)
+  }
+
+  hostRefused (reason: string): void {
+    this.refusals.inc({ reason })
+  }
+
+  storeCalled (call: string, result: string): void {
+    this.storeCalls.inc({ call, result })
+  }
+
+  versionInForce (version: number): void {
+    this.version.set(version)
+  }
+
+  /** All metrics as text. */
+  async text (): Promise<string> {
+    return await this.registry.metrics()
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/proxy.ts
@@ -0,0 +1,153 @@
+/** One proxy node: serves callers of its VM, and hosts the backend server beside it. */
+import * as Decisions from '@jasminedale/decisions'
+import * as Awilix from 'awilix'
+import * as Directories from './directory/directory.js'
+import * as Gateways from './entry/gateway.js'
+import * as HostViews from './entry/host-views.js'
+import * as Placements from './entry/placement.js'
+import * as RetryBudgets from './entry/retry-budget.js'
+import * as Senders from './entry/sender.js'
+import * as HostServers from './host/host-server.js'
+import * as Hosts from './host/host.js'
+import * as LocalTargets from './host/local-target.js'
+import * as Membership from './membership.js'
+import type * as Logs from './observation/log.js'
+import * as Metrics from './observation/metrics.js'
+import * as Servers from './servers.js'
+import type * as Settings from './settings.js'
+import * as Configurations from './state/configuration.js'
+import * as PeerStates from './state/peer-state.js'
+import * as Registrars from './state/registrar.js'
+import type * as SharedLogs from './state/shared-log.js'
+import * as Synchronizers from './state/synchronizer.js'
+import * as Connections from './transport/connections.js'
+import type * as Dialects from './transport/dialect.js'
+
+/** What the adapter provides. */
+export interface Ports {
+  readonly settings: Settings.ProxySettings
+  readonly dialect: Dialects.Dialect
+  readonly sharedLog: SharedLogs.SharedLog
+  readonly readConfiguration: Synchronizers.ReadConfiguration
+  readonly log: Logs.Log
+  readonly clock: Decisions.Clock.Clock
+}
+
+/** Everything that is wired, by the name under which classes ask for it. */
+interface Cradle extends Ports {
+  readonly random: Decisions.Random.Random
+  readonly metrics: Metrics.Metrics
+  readonly directory: Directories.Directory
+  readonly configuration: Configurations.ConfigurationState
+  readonly localTarget: LocalTargets.LocalTarget
+  readonly views: HostViews.HostViews
+  readonly connections: Connections.Connections
+  readonly host: Hosts.Host
+  readonly hostServer: HostServers.HostServer
+  readonly peerState: PeerStates.PeerState
+  readonly placer: Placements.Placer
+  readonly budget: RetryBudgets.RetryBudget
+  readonly sender: Senders.Sender
+  readonly gateway: Gateways.Gateway
+  readonly registrar: Registrars.Registrar
+  readonly synchronizer: Synchronizers.Synchronizer
+  readonly membership: Membership.Membership
+  readonly servers: Servers.Servers
+}
+
+/** Callers send no new work to a node after two unanswered readiness checks, one a second. */
+const CALLERS_LEAVE = Decisions.Clock.milliseconds(3_300)
+const STOP_CHECK_MS = 50
+/** Time before the stop limit at which the process ends even with requests in flight. */
+const STOP_MARGIN = Decisions.Clock.milliseconds(400)
+
+export class Proxy {
+  private readonly parts: Cradle
+  private stopping = false
+
+  constructor (ports: Ports) {
+    this.parts = wire(ports)
+  }
+
+  async start (): Promise<void> {
+    const { servers, synchronizer, log, settings } = this.parts
+    await servers.open()
+    synchronizer.start()
+    log.info('node started', { service: settings.service, dataCenter: settings.place.dataCenter, region: settings.place.region, host: settings.place.host })
+  }
+
+  /** Whether callers may send work to this node. */
+  get isReady (): boolean {
+    return !this.stopping && this.parts.configuration.table !== undefined && this.parts.synchronizer.knowsTargets
+  }
+
+  get membership (): Membership.Membership {
+    return this.parts.membership
+  }
+
+  get metrics (): Metrics.Metrics {
+    return this.parts.metrics
+  }
+
+  /** Finishes the requests in flight and ends. Returns the number that was cut off. */
+  async stop (): Promise<number> {
+    const { clock, gateway, host, hostServer, log, servers, synchronizer, settings, sharedLog, registrar } = this.parts
+    this.stopping = true
+    const startedAt = clock.now()
+    log.info('planned stop begins', { inFlight: gateway.inFlight, hosted: hostServer.inFlight })
+    host.leave()
+    gateway.leave()
+    const limit = startedAt + settings.stopLimit - STOP_MARGIN
+    const inFlight = (): number => gateway.inFlight + hostServer.inFlight + host.running
+    while (clock.now() < limit && (clock.now() < startedAt + CALLERS_LEAVE || inFlight() > 0)) await pause(STOP_CHECK_MS)
+    const cut = inFlight()
+    synchronizer.stop()
+    registrar.stop()
+    sharedLog.close()
+    servers.close()
+    log.info('node stopped', { after: Math.round(clock.now() - startedAt), cut })
+    return cut
+  }
+}
+
+async function pause (duration: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, duration) })
+}
+
+function wire (ports: Ports): Cradle {
+  const container = Awilix.createContainer<Cradle>({ strict: true })
+  container.register({
+    settings: Awilix.asValue(ports.settings),
+    dialect: Awilix.asValue(ports.dialect),
+    sharedLog: Awilix.asValue(ports.sharedLog),
+    readConfiguration: Awilix.asValue(ports.readConfiguration),
+    log: Awilix.asValue(ports.log),
+    clock: Awilix.asValue(ports.clock),
+    random: Awilix.asFunction(({ settings }: Cradle) => new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))).singleton(),
+    metrics: Awilix.asClass(Metrics.Metrics).singleton(),
+    directory: Awilix.asClass(Directories.Directory).singleton(),
+    configuration: Awilix.asClass(Configurations.ConfigurationState).singleton(),
+    localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
+    views: Awilix.asClass(HostViews.HostViews).singleton(),
+    connections: Awilix.asClass(Connections.Connections).singleton(),
+    host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
+      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget,
+      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version
+    })).singleton(),
+    hostServer: Awilix.asClass(HostServers.HostServer).singleton(),
+    peerState: Awilix.asClass(PeerStates.PeerState).singleton(),
+    placer: Awilix.asFunction((cradle: Cradle) => new Placements.Placer(cradle.settings.place, cradle.views, cradle.random)).singleton(),
+    budget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(cradle.settings.retryBudget)).singleton(),
+    sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
+      clock: cradle.clock, host: cradle.host, place: cradle.settings.place, origin: cradle.settings.service, views: cradle.views,
+      connections: cradle.connections, versionSeen: (version, address) => { cradle.synchronizer.versionSeen(version, address) }
+    })).singleton(),
+    gateway: Awilix.asClass(Gateways.Gateway).singleton(),
+    registrar: Awilix.asFunction((cradle: Cradle) => new Registrars.Registrar(cradle.sharedLog, cradle.log, cradle.random)).singleton(),
+    synchronizer: Awilix.asClass(Synchronizers.Synchronizer).singleton(),
+    membership: Awilix.asClass(Membership.Membership).singleton(),
+    servers: Awilix.asClass(Servers.Servers).singleton()
+  })
+  return container.cradle
+}
+
--- /dev/null
+++ b/packages/proxy/src/settings.ts
@@ -0,0 +1,18 @@
+/** Settings of one proxy node. They never come from the shared log. */
+import type * as Decisions from '@jasminedale/decisions'
+import type * as Placements from './entry/placement.js'
+import type * as RetryBudgets from './entry/retry-budget.js'
+
+export interface ProxySettings {
+  readonly node: Decisions.Ids.NodeId
+  readonly place: Placements.Place
+  /** Service of the backend server on this VM. */
+  readonly service: Decisions.Ids.Service
+  /** Where the backend server on this VM takes requests. */
+  readonly targetAddress: Decisions.Ids.Endpoint
+  /** Where callers on this VM send requests. */
+  readonly callerAddress: Decisions.Ids.Endpoint
+  readonly retryBudget: RetryBudgets.BudgetTerms
+  /** Time after the request to stop at which the process must have ended. */
+  readonly stopLimit: Decisions.Clock.Milliseconds
+}
--- /dev/null
+++ b/packages/proxy/src/transport/headers.ts
@@ -0,0 +1,35 @@
+/** Header lists as flat arrays of names and values, in the order and case received. */
+
+/** Fields that concern one connection only (RFC 9110, section 7.6.1), and the length, which is set anew. */
+const NOT_PASSED_ON: ReadonlySet<string> = new Set([
+  'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
+  'proxy-authenticate', 'proxy-authorization', 'content-length'
+])
+
+/** The fields that a proxy passes on, without those in `removed` (lower case). */
+export function passedOn (headers: readonly string[], removed: ReadonlySet<string>): string[] {
+  const named = connectionOptions(headers)
+  const kept: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] ?? ''
+    const lower = name.toLowerCase()
+    if (NOT_PASSED_ON.has(lower) || removed.has(lower) || named.has(lower)) continue
+    kept.push(name, headers[index + 1] ?? '')
+  }
+  return kept
+}
+
+/** Value of the first field of that lower-case name. */
+export function first (headers: readonly string[], name: string): string | undefined {
+  for (let index = 0; index < headers.length; index += 2) {
+    if (headers[index]?.toLowerCase() === name) return headers[index + 1]
+  }
+  return undefined
+}
+
+function connectionOptions (headers: readonly string[]): ReadonlySet<string> {
+  const value = first(headers, 'connection')
+  return value === undefined ? NONE : new Set(value.split(',').map(option => option.trim().toLowerCase()))
+}
+
+const NONE: ReadonlySet<string> = new Set()
