fix(proxy): mend repeats, unframed responses and the use of connections

Timeouts shorter than the objective closed the gate of healthy targets. Tests then showed two more: a response without a length that is reset counted as complete, and each refusal of a request with Expect cost its connection, because node's server does not keep one alive after a final status without 100 Continue.

Ruled out: lost connections to targets; all 37 were timeouts of a route with a 400 ms limit.

Change: one allowance per repeat that reaches a target; timeouts below the objective are no evidence; a reset within an unframed body is a loss; the end of the request and not Expect is held back; longer reads of the store.

--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -50,12 +50,16 @@
   private resolve: (answer: Answers.Answer) => void = () => { /* Set by the promise. */ }
   private readonly active = new Map<Senders.Sending, Step>()
   private readonly excluded = new Set<Decisions.Ids.TargetId>()
+  /** Targets on which an attempt ended after it ran or may have run. */
+  private readonly ranOn = new Set<Decisions.Ids.TargetId>()
   private readonly timers = new Set<NodeJS.Timeout>()
   private over = false
   /** Targets on which the request ran or may run. */
   private runs = 0
   private refusals = 0
   private shed = false
+  /** The budget has allowed a repeat that has not reached a target yet. */
+  private paid = false
   private lastError: Answers.Answer | undefined
   private lastRefusal: Answers.Answer | undefined
   private waitedSince: Decisions.Clock.Milliseconds | undefined
@@ -77,17 +81,19 @@
     const { request, parts } = this
     const now = parts.clock.now()
     const candidates = parts.directory.ready(request.service)
-    const wish = { repeatable: request.route.repeatable, excluded: this.excluded }
+    const wish = { careful: !request.route.repeatable || this.runs > 0, excluded: this.excluded }
     const chosen = parts.placer.choose(candidates, wish, now)
     if (chosen === undefined) {
       this.lackTarget(candidates, now)
       return
     }
     const repeats = this.runs > 0 || this.shed
-    if (repeats && !parts.budget.take(request.service, parts.directory.readyCount, now)) {
+    if (repeats && !this.paid && !parts.budget.take(request.service, parts.directory.readyCount, now)) {
       this.giveUp({ kind: 'not-run', reason: 'target-shed', retryAfter: RETRY_AFTER_DEFAULT })
       return
     }
+    // A repeat that a host refuses never reaches a target, so the next one needs no further allowance.
+    this.paid = repeats
     this.start(chosen, now)
   }
 
@@ -120,7 +126,9 @@
     this.active.delete(sending)
     if (step === undefined || this.over) return
     step.result = this.nameOf(outcome, step)
+    if (outcome.kind !== 'refused' || outcome.reason === 'target-shed') this.paid = false
     this.parts.metrics.attempted(this.request.service, outcome.kind === 'answered' ? String(outcome.response.status) : step.result)
+    if (outcome.kind !== 'refused') this.ranOn.add(sending.target)
     switch (outcome.kind) {
       case 'answered': this.answered({ kind: 'response', response: outcome.response }, outcome.response.status); break
       case 'refused': this.refused(outcome.reason, outcome.retryAfter); break
@@ -162,12 +170,14 @@
     const opening = this.parts.placer.nextOpening(candidates, now) ?? RETRY_AFTER_DEFAULT
     this.waitedSince ??= now
     const limit = this.waitedSince + WAIT_SHARE * this.request.route.latencyObjective
-    if (this.runs > 0 || now >= limit) {
+    if (this.active.size > 0) return
+    if (now >= limit) {
       this.giveUp(this.lastRefusal ?? { kind: 'not-run', reason: 'no-target', retryAfter: Math.max(opening, RETRY_AFTER_DEFAULT) })
       return
     }
     // Targets that were full or paused a moment ago may take work now.
     this.excluded.clear()
+    for (const target of this.ranOn) this.excluded.add(target)
     this.after(Math.min(Math.max(opening, 1), WAIT_STEP_MAXIMUM), () => { this.next() })
   }
 
--- a/packages/proxy/src/entry/placement.ts
+++ b/packages/proxy/src/entry/placement.ts
@@ -10,7 +10,8 @@
 }
 
 export interface Wish {
-  readonly repeatable: boolean
+  /** A failure would be final: targets whose recovery is not confirmed are avoided. */
+  readonly careful: boolean
   /** Targets that already ran the request or refused it. */
   readonly excluded: ReadonlySet<Decisions.Ids.TargetId>
 }
@@ -77,7 +78,7 @@
     const distance = distanceOf(this.place, registration)
     const own = HostViews.serviceTime(view)
     const slowness = own > 0 && reference > 0 ? Math.min(own / reference, SLOWNESS_MAXIMUM) : 1
-    const unconfirmed = !wish.repeatable && HostViews.closedFor(view, now) !== undefined ? UNCONFIRMED_COST : 0
+    const unconfirmed = wish.careful && HostViews.closedFor(view, now) !== undefined ? UNCONFIRMED_COST : 0
     const load = (HostViews.busyness(view, now) + 1) / registration.slots
     return { registration, distance, cost: load * slowness + DISTANCE_COST[distance] + unconfirmed }
   }
--- a/packages/proxy/src/host/gate.ts
+++ b/packages/proxy/src/host/gate.ts
@@ -19,7 +19,7 @@
 /** Successful trials after repeated failures: with nine of ten failing, two successes leave odds of 1 to 100. */
 const TRIALS_REPEATED = 2
 /** Time without repeatable work after which a non-idempotent request is the trial. */
-const PATIENCE = Decisions.Clock.milliseconds(1_500)
+const PATIENCE = Decisions.Clock.seconds(4)
 
 export class Gate {
   private closedUntil: Decisions.Clock.Milliseconds | undefined
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -27,8 +27,8 @@
     return this.open
   }
 
-  /** Handles a request. `unconfirmed`: its sender waits for 100 Continue before it sends the body. */
-  async handle (request: Http.IncomingMessage, response: Http.ServerResponse, unconfirmed: boolean): Promise<void> {
+  /** Handles a request. The sender of one that must not run twice waits for 100 Continue before it sends the rest. */
+  async handle (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
     const terms = Forwarding.parseTerms(request.rawHeaders)
     response.sendDate = false
     if (terms === undefined) {
@@ -38,6 +38,7 @@
     this.open += 1
     response.once('close', () => { this.open -= 1 })
     const { host } = this.parts
+    const unconfirmed = !terms.repeatable
     let confirmed = false
     const outcome = host.run(this.workOf(request, response, terms, async () => {
       confirmed = true
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -14,6 +14,7 @@
 import * as Works from './work.js'
 
 const SERVER_ERROR = 500
+const STATUS_TIMEOUT = 504
 /** Connections to the local target open within a round trip on the same machine. */
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Largest response that is held in memory, in bytes. */
@@ -102,7 +103,7 @@
   private unavailable (work: Works.Work): Works.Outcome | undefined {
     const announced = this.parts.localTarget.announced
     if (this.leaving) return Works.refused('node-leaving', ABSENT_RETRY)
-    if (announced === undefined || announced.target !== work.target) return Works.refused('target-unknown', ABSENT_RETRY)
+    if (announced?.target !== work.target) return Works.refused('target-unknown', ABSENT_RETRY)
     if (announced.state !== 'ready') return Works.refused('target-leaving', ABSENT_RETRY)
     return undefined
   }
@@ -138,16 +139,16 @@
     }
     const startedAt = this.parts.clock.now()
     const exchange = this.send(work, body, startedAt)
-    let withdrawn = false
+    const requester = { withdrew: false }
     work.onWithdrawn(() => {
-      withdrawn = true
+      requester.withdrew = true
       exchange.cancel('requester withdrew')
     })
     const silence = setTimeout(() => { this.suspect(work, passage) }, work.latencyObjective)
     const end = await exchange.end
     clearTimeout(silence)
     const elapsed = Decisions.Clock.between(startedAt, this.parts.clock.now())
-    const outcome = withdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(work, end)
+    const outcome = requester.withdrew ? { kind: 'withdrawn' as const } : this.outcomeOf(work, end)
     this.observe(work, outcome, passage, elapsed)
     return outcome
   }
@@ -178,10 +179,7 @@
 
   private outcomeOf (work: Works.Work, end: Exchanges.ExchangeEnd): Works.Outcome {
     if (end.kind === 'not-sent') return Works.refused('target-unreachable', ABSENT_RETRY)
-    if (end.kind === 'lost') {
-      const timedOut = this.parts.clock.now() >= work.deadline
-      return { kind: 'failed', reason: timedOut ? 'timed-out' : 'connection-lost', detail: end.reason }
-    }
+    if (end.kind === 'lost') return { kind: 'failed', reason: end.timedOut ? 'timed-out' : 'connection-lost', detail: end.reason }
     const { response } = end
     const signs = this.parts.dialect.targetSigns(response)
     if (signs.request !== undefined && signs.request !== work.request) {
@@ -209,6 +207,10 @@
     switch (outcome.kind) {
       case 'answered': {
         const failed = outcome.response.status >= SERVER_ERROR
+        if (outcome.response.status === STATUS_TIMEOUT && elapsed < work.latencyObjective) {
+          this.gate.abandoned(passage)
+          break
+        }
         metrics.worked(failed ? 'error' : 'success', elapsed)
         if (!failed) {
           this.serviceTime.add(elapsed)
@@ -217,13 +219,15 @@
         }
         this.gate.failed(passage, now)
         log.info('target answered with an error; holding non-idempotent work back', {
-          request: work.request, target: work.target, status: outcome.response.status, elapsed, passage, closedFor: this.gate.closedFor(now)
+          request: work.request, target: work.target, status: outcome.response.status, elapsed, passage, repeatable: work.repeatable, closedFor: this.gate.closedFor(now)
         })
         break
       }
       case 'failed':
         metrics.worked(outcome.reason, elapsed)
-        this.gate.failed(passage, now)
+        // A timeout shorter than the route's objective says nothing about the target.
+        if (outcome.reason === 'timed-out' && elapsed < work.latencyObjective) this.gate.abandoned(passage)
+        else this.gate.failed(passage, now)
         log.warn('target gave no valid response', { request: work.request, target: work.target, reason: outcome.reason, detail: outcome.detail, elapsed })
         break
       case 'refused':
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -12,7 +12,7 @@
 import * as LocalTargets from './host/local-target.js'
 import * as Membership from './membership.js'
 import type * as Logs from './observation/log.js'
-import * as Metrics from './observation/metrics.js'
+import type * as Metrics from './observation/metrics.js'
 import * as Servers from './servers.js'
 import type * as Settings from './settings.js'
 import * as Configurations from './state/configuration.js'
@@ -31,12 +31,12 @@
   readonly readConfiguration: Synchronizers.ReadConfiguration
   readonly log: Logs.Log
   readonly clock: Decisions.Clock.Clock
+  readonly metrics: Metrics.Metrics
 }
 
 /** Everything that is wired, by the name under which classes ask for it. */
 interface Cradle extends Ports {
   readonly random: Decisions.Random.Random
-  readonly metrics: Metrics.Metrics
   readonly directory: Directories.Directory
   readonly configuration: Configurations.ConfigurationState
   readonly localTarget: LocalTargets.LocalTarget
@@ -123,8 +123,8 @@
     readConfiguration: Awilix.asValue(ports.readConfiguration),
     log: Awilix.asValue(ports.log),
     clock: Awilix.asValue(ports.clock),
+    metrics: Awilix.asValue(ports.metrics),
     random: Awilix.asFunction(({ settings }: Cradle) => new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))).singleton(),
-    metrics: Awilix.asClass(Metrics.Metrics).singleton(),
     directory: Awilix.asClass(Directories.Directory).singleton(),
     configuration: Awilix.asClass(Configurations.ConfigurationState).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
@@ -150,4 +150,3 @@
   })
   return container.cradle
 }
-
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -67,12 +67,10 @@
   private nodeServer (): Http.Server {
     const { hostServer, peerState, log } = this.parts
     const server = Http.createServer({ maxHeaderSize: HEADER_BYTES, keepAliveTimeout: NODE_IDLE_MS, headersTimeout: 0, requestTimeout: 0 })
-    const handle = (request: Http.IncomingMessage, response: Http.ServerResponse, unconfirmed: boolean): void => {
-      const handled = request.url === PeerStates.PATH ? peerState.serve(request, response) : hostServer.handle(request, response, unconfirmed)
+    server.on('request', (request, response) => {
+      const handled = request.url === PeerStates.PATH ? peerState.serve(request, response) : hostServer.handle(request, response)
       handled.catch((error: unknown) => { fail(log, response, error) })
-    }
-    server.on('request', (request, response) => { handle(request, response, false) })
-    server.on('checkContinue', (request, response) => { handle(request, response, true) })
+    })
     return server
   }
 
--- a/packages/proxy/src/state/configuration.ts
+++ b/packages/proxy/src/state/configuration.ts
@@ -4,7 +4,7 @@
 import * as RouteTables from '../routes/route-table.js'
 
 /** Age of the last contact beyond which a newer configuration may exist unseen: one read of the log and its timeout. */
-const CONTACT_LIMIT = Decisions.Clock.seconds(6)
+const CONTACT_LIMIT = Decisions.Clock.seconds(8)
 
 export class ConfigurationState {
   private routeTable: RouteTables.RouteTable | undefined
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -21,12 +21,12 @@
 /** Reads a record of topic `configuration`; undefined when the record is about something else. */
 export type ReadConfiguration = (record: SharedLogs.KeyedRecord) => neverthrow.Result<Routes.RouteConfiguration, ConfigurationFailure> | undefined
 
-/** Longest silence of a connection to the log that goes unnoticed; a configuration must be in force within 2 s after 3 s of calm. */
-const CONFIGURATION_WAIT = Decisions.Clock.seconds(4)
+/** Longest silence of a connection to the log that goes unnoticed, unless an answer of another node shows a newer version. */
+const CONFIGURATION_WAIT = Decisions.Clock.seconds(6)
 /** Registrations also show in refusals of hosts, so they may come later. */
-const TARGETS_WAIT = Decisions.Clock.seconds(8)
+const TARGETS_WAIT = Decisions.Clock.seconds(20)
 /** Registrations come in bursts when a service is replaced; one read takes them together. */
-const TARGETS_COLLECT = Decisions.Clock.milliseconds(400)
+const TARGETS_COLLECT = Decisions.Clock.milliseconds(700)
 /** Interval of questions to peers while the log does not answer. */
 const PEER_INTERVAL_MS = 700
 /** Time for the log to deliver a version that a peer already has. */
@@ -99,10 +99,16 @@
       wait: TARGETS_WAIT,
       collect: TARGETS_COLLECT,
       apply: record => { this.applyRegistration(record) },
-      synchronized: () => { this.synchronized = true }
+      synchronized: () => { this.targetsSynchronized() }
     })
   }
 
+  private targetsSynchronized (): void {
+    if (this.synchronized) return
+    this.synchronized = true
+    this.parts.log.info('directory read', { targets: this.parts.directory.readyCount })
+  }
+
   private applyConfiguration (record: SharedLogs.KeyedRecord): void {
     const { configuration, log, metrics, readConfiguration } = this.parts
     const read = readConfiguration(record)
@@ -132,7 +138,7 @@
     if (registration.host === settings.place.host) void registrar.observed(registration)
     const known = directory.get(registration.target)
     if (!directory.merge(registration)) return
-    if (known?.state !== registration.state) log.info('target registered', { target: registration.target, service: registration.service, state: registration.state, sequence: registration.sequence })
+    if (this.synchronized && known?.state !== registration.state) log.info('target registered', { target: registration.target, service: registration.service, state: registration.state, sequence: registration.sequence })
     if (known === undefined) views.forget(registration.target)
   }
 
--- a/packages/proxy/src/transport/connections.ts
+++ b/packages/proxy/src/transport/connections.ts
@@ -1,6 +1,6 @@
 /** Pooled HTTP/1.1 connections that are dropped when they receive bytes nobody asked for. */
 import * as Http from 'node:http'
-import type * as Net from 'node:net'
+import * as Net from 'node:net'
 import type * as Stream from 'node:stream'
 
 /** Idle connections kept per address; bursts above it open new ones. */
@@ -28,10 +28,10 @@
 
   /** An idle connection that receives bytes carries a response to no request; reusing it would mix responses up. */
   override keepSocketAlive (socket: Stream.Duplex): boolean {
-    const kept = super.keepSocketAlive(socket) as unknown as boolean
+    super.keepSocketAlive(socket)
     const limit = this.idleLimits.get(socket) ?? IDLE_DEFAULT_MS
-    if (!kept || socket.readableLength > 0 || limit <= 0) return false
-    ;(socket as Net.Socket).setTimeout(limit)
+    if (socket.readableLength > 0 || limit <= 0) return false
+    timeOut(socket, limit)
     socket.on('data', discard)
     socket.resume()
     return true
@@ -39,7 +39,7 @@
 
   override reuseSocket (socket: Stream.Duplex, request: Http.ClientRequest): void {
     socket.off('data', discard)
-    ;(socket as Net.Socket).setTimeout(0)
+    timeOut(socket, 0)
     super.reuseSocket(socket, request)
   }
 }
@@ -47,3 +47,8 @@
 function discard (this: Net.Socket): void {
   this.destroy()
 }
+
+/** Agents pass sockets as streams; these are TCP sockets. A timeout of 0 ends the watch. */
+function timeOut (socket: Stream.Duplex, duration: number): void {
+  if (socket instanceof Net.Socket) socket.setTimeout(duration)
+}
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -15,7 +15,7 @@
   /** No byte of the request, or of its confirmation, can have been acted upon. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The request was sent and its fate is unknown. */
-  | { readonly kind: 'lost', readonly reason: string }
+  | { readonly kind: 'lost', readonly reason: string, readonly timedOut: boolean }
 
 export interface Plan {
   readonly address: Decisions.Ids.Endpoint
@@ -30,8 +30,9 @@
   readonly responseLimit: number
   readonly connections: Connections.Connections
   /**
-   * Holds the body back until the peer has confirmed the request with 100 Continue. Until then the
-   * peer does not act on it, so that a request without confirmation has certainly not run.
+   * Holds the body, and the end of the request, back until the peer has confirmed with 100 Continue. Until then
+   * the peer does not act on it, so that a request without confirmation has certainly not run. The field Expect
+   * is not sent: with it the peer's HTTP library ends the connection after each refusal.
    */
   readonly confirmed: boolean
   /** Time within which the peer must confirm. */
@@ -51,6 +52,9 @@
   private queued = false
   private connected = false
   private responding = false
+  /** The connection ended with an error: a body without a stated length may be cut off. */
+  private broken = false
+  private timedOut = false
   private readonly timers: NodeJS.Timeout[] = []
 
   constructor (private readonly plan: Plan) {
@@ -77,15 +81,19 @@
     const { body, confirmed, address, headers, method } = this.plan
     const fields = [...headers]
     if (!fields.some((value, index) => index % 2 === 0 && value.toLowerCase() === 'host')) fields.push('Host', address)
-    if (confirmed) fields.push('Transfer-Encoding', 'chunked', 'Expect', '100-continue')
+    if (confirmed) fields.push('Transfer-Encoding', 'chunked')
     else if (body.length > 0 || method === 'POST' || method === 'PUT' || method === 'PATCH') fields.push('Content-Length', String(body.length))
     return fields
   }
 
   private listen (): void {
     const { request, plan } = this
-    this.after(plan.timeout, 'no response before the deadline')
+    this.after(plan.timeout, 'no response before the deadline', () => {
+      this.timedOut = true
+      return true
+    })
     request.on('socket', socket => {
+      socket.once('error', () => { this.broken = true })
       if (!socket.connecting) {
         this.opened()
         return
@@ -127,8 +135,8 @@
     if (this.plan.confirmed && !this.committed) this.request.end()
     this.plan.connections.limitIdle(message.socket, message.headers['keep-alive'])
     const body = await Bodies.read(message, this.plan.responseLimit)
-    if (body.isErr()) {
-      this.fail(`response is ${body.error.kind}`)
+    if (body.isErr() || (this.broken && isUnframed(message))) {
+      this.fail(body.isErr() ? `response is ${body.error.kind}` : 'connection was reset within a response without a length')
       return
     }
     this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value } })
@@ -143,7 +151,7 @@
   private fail (reason: string): void {
     if (this.over) return
     const sent = this.connected && this.committed
-    this.finish(sent ? { kind: 'lost', reason } : { kind: 'not-sent', reason })
+    this.finish(sent ? { kind: 'lost', reason, timedOut: this.timedOut } : { kind: 'not-sent', reason })
     this.request.destroy()
   }
 
@@ -154,3 +162,8 @@
     this.settle(end)
   }
 }
+
+/** Whether only the end of the connection marks the end of the body. */
+function isUnframed (message: Http.IncomingMessage): boolean {
+  return message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined
+}
--- /dev/null
+++ b/packages/proxy/tests/directory/directory.test.ts
@@ -0,0 +1,38 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as Directories from '../../src/directory/directory.js'
+import * as Samples from '../support/samples.js'
+
+test('ready targets are listed by service', () => {
+  const directory = new Directories.Directory()
+  directory.merge(Samples.registration('a'))
+  directory.merge(Samples.registration('b', { service: Decisions.Ids.service('other') }))
+  assert.deepEqual(directory.ready(Samples.SERVICE).map(({ target }) => target), ['a'])
+})
+
+// Guards against a delayed write that brings a leaving target back.
+test('older record does not replace a newer one', () => {
+  const directory = new Directories.Directory()
+  directory.merge(Samples.registration('a', { state: 'leaving', sequence: 5 }))
+  assert.equal(directory.merge(Samples.registration('a', { sequence: 4 })), false)
+  assert.equal(directory.merge(Samples.registration('a', { sequence: 5 })), false)
+  assert.deepEqual(directory.ready(Samples.SERVICE), [])
+})
+
+test('restart under the same id counts anew', () => {
+  const directory = new Directories.Directory()
+  directory.merge(Samples.registration('a', { state: 'gone', sequence: 50 }))
+  assert.equal(directory.merge(Samples.registration('a', { incarnation: Decisions.Ids.incarnation(200), sequence: 1 })), true)
+  assert.equal(directory.ready(Samples.SERVICE).length, 1)
+})
+
+// Guards against work for a target that was replaced on its VM without a goodbye.
+test('newest target of a host replaces the older', () => {
+  const directory = new Directories.Directory()
+  const host = Decisions.Ids.endpoint('10.0.0.1:80')
+  directory.merge(Samples.registration('old', { host }))
+  directory.merge(Samples.registration('new', { host, service: Decisions.Ids.service('other'), incarnation: Decisions.Ids.incarnation(300) }))
+  directory.merge(Samples.registration('third'))
+  assert.deepEqual(directory.ready(Samples.SERVICE).map(({ target }) => target), ['third'])
+})
--- /dev/null
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -0,0 +1,101 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as Directories from '../../src/directory/directory.js'
+import * as Dispatches from '../../src/entry/dispatch.js'
+import * as HostViews from '../../src/entry/host-views.js'
+import * as Placements from '../../src/entry/placement.js'
+import type * as Requests from '../../src/entry/request.js'
+import * as RetryBudgets from '../../src/entry/retry-budget.js'
+import * as Works from '../../src/host/work.js'
+import * as Metrics from '../../src/observation/metrics.js'
+import type * as Routes from '../../src/routes/route.js'
+import * as Samples from '../support/samples.js'
+import * as ScriptedSenders from '../support/scripted-sender.js'
+
+const CLOCK = new Decisions.Clock.VirtualClock()
+const NAMES = ['a', 'bb', 'ccc', 'dddd']
+
+function answered (status: number): Works.Outcome {
+  return { kind: 'answered', response: { status, headers: [], body: Buffer.alloc(0) } }
+}
+
+function dispatch (sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000): Dispatches.Dispatch {
+  const directory = new Directories.Directory()
+  for (const name of names) directory.merge(Samples.registration(name))
+  const views = new HostViews.HostViews()
+  const place: Placements.Place = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
+  const request: Requests.EntryRequest = {
+    id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
+    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline: Decisions.Clock.seconds(2)
+  }
+  return new Dispatches.Dispatch(request, {
+    clock: CLOCK, directory, views, placer: new Placements.Placer(place, views, new Decisions.Random.Random(5)),
+    budget: new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack }), sender, metrics: new Metrics.Metrics()
+  })
+}
+
+test('repeatable request is tried on a second target', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => answered(attempt === 1 ? 500 : 200))
+  const answer = await dispatch(sender, {}).answer
+  assert.equal(answer.kind === 'response' && answer.response.status, 200)
+  assert.equal(new Set(sender.sent.map(({ target }) => target)).size, 2)
+})
+
+// Guards against running a request on more targets than its route allows.
+test('attempts of the route bound the targets', async () => {
+  const sender = new ScriptedSenders.ScriptedSender(() => answered(500))
+  const answer = await dispatch(sender, { attempts: 2 }).answer
+  assert.equal(answer.kind === 'response' && answer.response.status, 500)
+  assert.equal(sender.sent.length, 2)
+})
+
+// Guards against running non-idempotent work twice.
+test('other request is not repeated after it may have run', async () => {
+  for (const outcome of [answered(500), { kind: 'failed', reason: 'connection-lost', detail: '' } as const]) {
+    const sender = new ScriptedSenders.ScriptedSender(() => outcome)
+    await dispatch(sender, { repeatable: false }).answer
+    assert.equal(sender.sent.length, 1)
+  }
+})
+
+test('request that did not run is placed elsewhere', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt < 3 ? Works.refused('target-busy', 50) : answered(200))
+  const answer = await dispatch(sender, { repeatable: false }).answer
+  assert.equal(answer.kind, 'response')
+  assert.deepEqual(sender.sent.map(({ mayWait }) => mayWait), [false, false, true])
+})
+
+// Found in the first run on the platform: a repeat that a host refused spent the budget, and the caller got the error.
+test('refused repeat does not spend the budget', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt === 1 ? answered(500) : attempt < 4 ? Works.refused('target-closed', 50) : answered(200))
+  const answer = await dispatch(sender, {}, NAMES, 0).answer
+  assert.equal(answer.kind === 'response' && answer.response.status, 200)
+})
+
+// Guards against the promise "not run" for a request that may have run before.
+test('unknown outcome is not covered by a later refusal', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt === 1 ? { kind: 'failed', reason: 'connection-lost', detail: '' } : Works.refused('too-late', 50))
+  const answer = await dispatch(sender, {}).answer
+  assert.equal(answer.kind, 'unknown')
+})
+
+test('silent attempt of a repeatable request is doubled', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt === 2 ? answered(200) : undefined)
+  const answer = await dispatch(sender, { latencyObjective: Decisions.Clock.milliseconds(20) }).answer
+  assert.equal(answer.kind, 'response')
+  assert.equal(sender.sent[0]?.withdrawn, true, 'the slower attempt is withdrawn')
+})
+
+test('caller that leaves withdraws its attempts', async () => {
+  const sender = new ScriptedSenders.ScriptedSender()
+  const running = dispatch(sender, { repeatable: false })
+  running.abandon()
+  assert.equal((await running.answer).kind, 'abandoned')
+  assert.equal(sender.sent[0]?.withdrawn, true)
+})
+
+test('service without targets is refused as not run', async () => {
+  const answer = await dispatch(new ScriptedSenders.ScriptedSender(), { latencyObjective: Decisions.Clock.milliseconds(0) }, []).answer
+  assert.equal(answer.kind, 'not-run')
+})
--- /dev/null
+++ b/packages/proxy/tests/entry/placement.test.ts
@@ -0,0 +1,75 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import type * as Registrations from '../../src/directory/registration.js'
+import * as HostViews from '../../src/entry/host-views.js'
+import * as Placements from '../../src/entry/placement.js'
+import type * as HostReports from '../../src/host/host-report.js'
+import * as Samples from '../support/samples.js'
+
+const at = Decisions.Clock.milliseconds
+const PLACE: Placements.Place = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
+const WISH: Placements.Wish = { careful: false, excluded: new Set() }
+
+function report (over: Partial<HostReports.HostReport>): HostReports.HostReport {
+  return { running: 0, waiting: 0, slots: 4, closedFor: undefined, serviceTime: at(100), version: Decisions.Ids.version(1), ...over }
+}
+
+function setup (): { views: HostViews.HostViews, placer: Placements.Placer } {
+  const views = new HostViews.HostViews()
+  return { views, placer: new Placements.Placer(PLACE, views, new Decisions.Random.Random(3)) }
+}
+
+function counts (placer: Placements.Placer, candidates: readonly Registrations.Registration[], wish = WISH, now = at(10)): Record<string, number> {
+  const result: Record<string, number> = {}
+  for (let index = 0; index < 300; index += 1) {
+    const target = placer.choose(candidates, wish, now)?.target ?? 'none'
+    result[target] = (result[target] ?? 0) + 1
+  }
+  return result
+}
+
+// Guards against paid traffic between regions while near targets are idle.
+test('near targets come first', () => {
+  const { placer } = setup()
+  const far = Samples.registration('far', { region: Decisions.Ids.region('other'), dataCenter: Decisions.Ids.dataCenter('z') })
+  assert.deepEqual(counts(placer, [Samples.registration('near'), far]), { near: 300 })
+})
+
+test('work spills to another region when near targets are full', () => {
+  const { placer, views } = setup()
+  views.reported(Decisions.Ids.targetId('near'), report({ running: 4, waiting: 8 }), at(10))
+  const far = Samples.registration('far', { region: Decisions.Ids.region('other'), dataCenter: Decisions.Ids.dataCenter('z') })
+  assert.deepEqual(counts(placer, [Samples.registration('near'), far]), { far: 300 })
+})
+
+test('closed target gets nothing', () => {
+  const { placer, views } = setup()
+  views.reported(Decisions.Ids.targetId('a'), report({ closedFor: 300 }), at(0))
+  assert.deepEqual(counts(placer, [Samples.registration('a'), Samples.registration('bb')]), { bb: 300 })
+})
+
+// Guards against final failures on a target whose recovery is not confirmed.
+test('careful work avoids an unconfirmed target', () => {
+  const { placer, views } = setup()
+  views.reported(Decisions.Ids.targetId('a'), report({ closedFor: 5 }), at(0))
+  const candidates = [Samples.registration('a'), Samples.registration('bb')]
+  assert.deepEqual(counts(placer, candidates, { ...WISH, careful: true }), { bb: 300 })
+  assert.ok((counts(placer, candidates).a ?? 0) > 0, 'other work may try it')
+})
+
+test('slow target gets less', () => {
+  const { placer, views } = setup()
+  for (const [name, time] of [['a', 900], ['bb', 100], ['ccc', 100]] as const) views.reported(Decisions.Ids.targetId(name), report({ serviceTime: at(time) }), at(0))
+  const result = counts(placer, [Samples.registration('a'), Samples.registration('bb'), Samples.registration('ccc')])
+  assert.equal(result.a ?? 0, 0)
+})
+
+test('unreachable host is avoided for longer each time', () => {
+  const { placer, views } = setup()
+  const target = Decisions.Ids.targetId('a')
+  assert.equal(views.unreachable(target, at(0)), 500)
+  assert.equal(views.unreachable(target, at(600)), 1_000)
+  assert.equal(placer.choose([Samples.registration('a')], WISH, at(1_500)), undefined)
+  assert.equal(placer.choose([Samples.registration('a')], WISH, at(1_601))?.target, 'a')
+})
--- /dev/null
+++ b/packages/proxy/tests/host/local-target.test.ts
@@ -0,0 +1,52 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as LocalTargets from '../../src/host/local-target.js'
+
+function announcement (over: Partial<LocalTargets.Announcement> = {}): LocalTargets.Announcement {
+  return {
+    target: Decisions.Ids.targetId('t1'), service: Decisions.Ids.service('accounts'), slots: 4, state: 'ready',
+    incarnation: Decisions.Ids.incarnation(100), sequence: 1, ...over
+  }
+}
+
+test('target is ready once announced', () => {
+  const local = new LocalTargets.LocalTarget()
+  assert.equal(local.isReady, false)
+  assert.equal(local.hear(announcement()), 'changed')
+  assert.equal(local.isReady, true)
+})
+
+// Guards against work for a leaving target after a late announcement that it is ready.
+test('leaving target stays so', () => {
+  const local = new LocalTargets.LocalTarget()
+  local.hear(announcement({ sequence: 3 }))
+  local.hear(announcement({ state: 'leaving', sequence: 4 }))
+  assert.equal(local.hear(announcement({ sequence: 2 })), 'outdated')
+  assert.equal(local.hear(announcement({ sequence: 5 })), 'outdated')
+  assert.equal(local.isReady, false)
+})
+
+// Guards against an announcement delayed by a partition whose sender has been replaced at the same address.
+test('older incarnation is ignored', () => {
+  const local = new LocalTargets.LocalTarget()
+  local.hear(announcement({ incarnation: Decisions.Ids.incarnation(200), target: Decisions.Ids.targetId('t2') }))
+  assert.equal(local.hear(announcement({ sequence: 50 })), 'outdated')
+  assert.equal(local.announced?.target, 't2')
+})
+
+// Guards against a target that restarts under its old id and stays unknown because its counts start anew.
+test('restart under the same id is taken over', () => {
+  const local = new LocalTargets.LocalTarget()
+  local.hear(announcement({ sequence: 40 }))
+  local.leave(Decisions.Ids.targetId('t1'))
+  assert.equal(local.hear(announcement({ incarnation: Decisions.Ids.incarnation(300), sequence: 1 })), 'changed')
+  assert.equal(local.isReady, true)
+})
+
+test('goodbye of another target changes nothing', () => {
+  const local = new LocalTargets.LocalTarget()
+  local.hear(announcement())
+  assert.equal(local.leave(Decisions.Ids.targetId('other')), false)
+  assert.equal(local.isReady, true)
+})
