--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -35,6 +35,8 @@
 const REFUSALS_BEFORE_QUEUE = 2
 /** Refusals after which the request is given up. */
 const REFUSALS_MAXIMUM = 8
+/** Hosts that may say that the request cannot finish in time there; their queues are alike under a lasting overload. */
+const LATE_REFUSALS_MAXIMUM = 2
 /** Share of the latency objective for which a request waits for a target to take work again. */
 const WAIT_SHARE = 0.25
 /** Pause between looks for a target while none takes work. */
@@ -57,6 +59,7 @@
   /** Targets on which the request ran or may run. */
   private runs = 0
   private refusals = 0
+  private lateRefusals = 0
   private shed = false
   /** The budget has allowed a repeat that has not reached a target yet. */
   private paid = false
@@ -107,7 +110,7 @@
     this.active.set(sending, step)
     this.excluded.add(registration.target)
     this.runs += 1
-    if (this.mayRepeat()) this.after(HEDGE_SHARE * request.route.latencyObjective, () => { this.hedge(sending) })
+    if (this.mayRepeat()) this.watch(sending)
     void sending.outcome.then(outcome => { this.ended(sending, outcome) })
   }
 
@@ -115,10 +118,14 @@
     return this.request.route.repeatable && this.runs < this.request.route.attempts
   }
 
-  /** The attempt is silent; the first of two answers is used. */
-  private hedge (sending: Senders.Sending): void {
-    if (this.over || !this.active.has(sending) || !this.mayRepeat()) return
-    this.next()
+  /** Tries another target when the attempt stays silent; the first of two answers is used. */
+  private watch (sending: Senders.Sending): void {
+    this.after(HEDGE_SHARE * this.request.route.latencyObjective, () => {
+      if (this.over || !this.active.has(sending) || !this.mayRepeat()) return
+      // A request in a queue is not silent, and a second one would lengthen the queues.
+      if (sending.isQueued()) this.watch(sending)
+      else this.next()
+    })
   }
 
   private ended (sending: Senders.Sending, outcome: Works.Outcome): void {
@@ -160,7 +167,8 @@
     this.refusals += 1
     if (reason === 'target-shed') this.shed = true
     this.lastRefusal = { kind: 'not-run', reason, retryAfter }
-    if (this.refusals >= REFUSALS_MAXIMUM || reason === 'too-late') this.giveUp(this.lastRefusal)
+    if (reason === 'too-late') this.lateRefusals += 1
+    if (this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM) this.giveUp(this.lastRefusal)
     else if (this.runs === 0 || this.mayRepeat()) this.next()
     else this.giveUp(this.lastRefusal)
   }
--- a/packages/proxy/src/entry/placement.ts
+++ b/packages/proxy/src/entry/placement.ts
@@ -22,7 +22,7 @@
  * Cost of a farther target in units of one slot's load: bytes between zones and regions are paid for,
  * so work leaves a zone only when that zone is about that much busier.
  */
-const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 0.6, 3: 1.2 }
+const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 0.6, 3: 1.8 }
 /** Extra cost of a target whose recovery is not confirmed, for requests that must not fail there. */
 const UNCONFIRMED_COST = 0.8
 /** Ratio to the mean service time of the candidates beyond which slowness counts no further. */
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -35,6 +35,8 @@
 export interface Sending {
   readonly target: Decisions.Ids.TargetId
   readonly outcome: Promise<Works.Outcome>
+  /** Whether the request was last known to wait at its host and not to run. */
+  isQueued (): boolean
   withdraw (): void
 }
 
@@ -53,6 +55,7 @@
 
   private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
     const listeners: (() => void)[] = []
+    const state = { queued: false }
     const { target } = registration
     const { host, clock, views, origin } = this.parts
     const outcome = host.run({
@@ -66,15 +69,20 @@
       priority: request.route.priority,
       deadline: request.deadline,
       latencyObjective: request.route.latencyObjective,
+      usefulUntil: Decisions.Clock.add(request.arrivedAt, request.route.latencyObjective),
       mayWait,
-      commit: () => Promise.resolve(request.body),
+      queued: () => { state.queued = true },
+      commit: () => {
+        state.queued = false
+        return Promise.resolve(request.body)
+      },
       onWithdrawn: listener => { listeners.push(listener) }
     }).then(ended => {
       views.reported(target, host.report(), clock.now())
       this.absent(target, ended)
       return ended
     })
-    return { target, outcome, withdraw: () => { for (const listener of listeners) listener() } }
+    return { target, outcome, isQueued: () => state.queued, withdraw: () => { for (const listener of listeners) listener() } }
   }
 
   private forward (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
@@ -82,7 +90,8 @@
     const { target } = registration
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const terms = Forwarding.formatTerms({
-      target, remaining, latencyObjective: request.route.latencyObjective, priority: request.route.priority,
+      target, remaining, latencyObjective: request.route.latencyObjective,
+      useful: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.route.priority,
       repeatable: request.route.repeatable, mayWait, origin
     })
     const exchange = new Exchanges.Exchange({
@@ -103,6 +112,7 @@
     return {
       target,
       outcome,
+      isQueued: () => exchange.isQueued,
       withdraw: () => {
         withdrawn = true
         exchange.cancel('requester withdrew')
--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -5,7 +5,7 @@
 import * as HostReports from './host-report.js'
 import * as Works from './work.js'
 
-/** Terms of the forwarded request: target, milliseconds left, objective, priority, repeatable, may wait, origin. */
+/** Terms of the forwarded request: target, milliseconds left, objective, milliseconds in which an answer is fully useful, priority, repeatable, may wait, origin. */
 const TERMS = 'jasminedale-work'
 /** State of the host. */
 const REPORT = 'jasminedale-host'
@@ -16,7 +16,7 @@
 
 export const BETWEEN_NODES: ReadonlySet<string> = new Set([TERMS, REPORT, REFUSED, FAILED])
 
-const FIELDS = 7
+const FIELDS = 8
 const STATUS_REFUSED = 503
 const STATUS_FAILED = 502
 
@@ -25,6 +25,8 @@
   readonly target: Decisions.Ids.TargetId
   readonly remaining: Decisions.Clock.Milliseconds
   readonly latencyObjective: Decisions.Clock.Milliseconds
+  /** Time from now within which an answer is fully useful. */
+  readonly useful: Decisions.Clock.Milliseconds
   readonly priority: number
   readonly repeatable: boolean
   readonly mayWait: boolean
@@ -33,7 +35,7 @@
 
 export function formatTerms (terms: Terms): string[] {
   const fields = [
-    terms.target, Math.round(terms.remaining), Math.round(terms.latencyObjective), terms.priority,
+    terms.target, Math.round(terms.remaining), Math.round(terms.latencyObjective), Math.round(terms.useful), terms.priority,
     Number(terms.repeatable), Number(terms.mayWait), terms.origin
   ]
   return [TERMS, fields.join(' ')]
@@ -42,14 +44,15 @@
 /** Undefined when the request is not a forwarded one or its terms cannot be read. */
 export function parseTerms (headers: readonly string[]): Terms | undefined {
   const fields = Headers.first(headers, TERMS)?.split(' ') ?? []
-  const [target, remaining, objective, priority, repeatable, mayWait, origin] = fields
+  const [target, remaining, objective, useful, priority, repeatable, mayWait, origin] = fields
   if (fields.length !== FIELDS || target === undefined || origin === undefined) return undefined
-  const numbers = [remaining, objective, priority].map(Number)
+  const numbers = [remaining, objective, useful, priority].map(Number)
   if (!numbers.every(Number.isFinite)) return undefined
   return {
     target: Decisions.Ids.targetId(target),
     remaining: Decisions.Clock.milliseconds(Number(remaining)),
     latencyObjective: Decisions.Clock.milliseconds(Number(objective)),
+    useful: Decisions.Clock.milliseconds(Number(useful)),
     priority: Number(priority),
     repeatable: repeatable === '1',
     mayWait: mayWait === '1',
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -38,16 +38,11 @@
     this.open += 1
     response.once('close', () => { this.open -= 1 })
     const { host } = this.parts
-    const unconfirmed = !terms.repeatable
-    let confirmed = false
     const outcome = host.run(this.workOf(request, response, terms, async () => {
-      confirmed = true
-      if (unconfirmed) response.writeContinue()
+      if (!terms.repeatable) response.writeContinue()
       const body = await Bodies.read(request, BODY_LIMIT)
       return body.isOk() ? body.value : undefined
     }))
-    // Tells the sender that the request is in the queue, so that it does not take the silence for a failure.
-    if (unconfirmed) setImmediate(() => { if (!confirmed && !response.headersSent && !response.destroyed) response.writeProcessing() })
     const { status, headers, body } = Forwarding.formatOutcome(await outcome, host.report())
     if (response.destroyed) return
     request.resume()
@@ -68,7 +63,10 @@
       priority: terms.priority,
       deadline: Decisions.Clock.add(clock.now(), terms.remaining),
       latencyObjective: terms.latencyObjective,
+      usefulUntil: Decisions.Clock.add(clock.now(), terms.useful),
       mayWait: terms.mayWait,
+      // The sender must not take the wait for a failure.
+      queued: () => { response.writeProcessing() },
       commit,
       onWithdrawn: listener => { response.once('close', () => { if (!response.writableFinished) listener() }) }
     }
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -121,10 +121,12 @@
       const waiting = {
         priority: work.priority,
         deadline: work.deadline,
+        usefulUntil: work.usefulUntil,
         start: () => { resolve('started') },
         expire: () => { resolve('too-late') }
       }
-      this.slots.enqueue(waiting)
+      this.slots.enqueue(waiting, this.serviceTime.mean, now)
+      work.queued()
       work.onWithdrawn(() => { if (this.slots.remove(waiting)) resolve('too-late') })
     })
   }
--- a/packages/proxy/src/host/slots.ts
+++ b/packages/proxy/src/host/slots.ts
@@ -4,15 +4,14 @@
 export interface Waiting {
   readonly priority: number
   readonly deadline: Decisions.Clock.Milliseconds
+  /** Instant until which an answer is fully useful. */
+  readonly usefulUntil: Decisions.Clock.Milliseconds
   /** The slot is taken for this request. */
   start (): void
   /** The request can no longer finish before its deadline. */
   expire (): void
 }
 
-/** Waiting requests per slot; more would wait for longer than their deadlines. */
-const QUEUE_PER_SLOT = 8
-
 export class Slots {
   private running = 0
   private limit = 1
@@ -44,10 +43,8 @@
   }
 
   /** Whether a request that joins the queue now is likely to finish in time. */
-  canWait (entry: Pick<Waiting, 'priority' | 'deadline'>, mean: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): boolean {
-    const ahead = this.queue.filter(other => other.priority <= entry.priority).length
-    if (ahead >= this.limit * QUEUE_PER_SLOT) return false
-    return now + this.expectedWait(ahead, mean) + mean <= entry.deadline
+  canWait (entry: Pick<Waiting, 'priority' | 'deadline' | 'usefulUntil'>, mean: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): boolean {
+    return this.isTimely(entry, this.queue.filter(other => other.priority <= entry.priority).length, mean, now)
   }
 
   /** Expected time until a request behind `ahead` others starts. */
@@ -55,10 +52,17 @@
     return (ahead + 1) * mean / this.limit
   }
 
-  enqueue (entry: Waiting): void {
+  /** Adds a request; less urgent ones that can no longer finish in time because of it are turned away at once. */
+  enqueue (entry: Waiting, mean: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): void {
     const position = this.queue.findIndex(other => other.priority > entry.priority)
-    if (position < 0) this.queue.push(entry)
-    else this.queue.splice(position, 0, entry)
+    if (position < 0) {
+      this.queue.push(entry)
+      return
+    }
+    this.queue.splice(position, 0, entry)
+    const late = this.queue.filter((other, ahead) => ahead > position && !this.isTimely(other, ahead, mean, now))
+    this.queue = this.queue.filter(other => !late.includes(other))
+    for (const other of late) other.expire()
   }
 
   /** Withdraws a waiting request; false when it does not wait. */
@@ -83,8 +87,9 @@
     }
   }
 
-  /** Turns all waiting requests away. */
-  clear (): void {
-    for (const entry of this.queue.splice(0)) entry.expire()
+  /** Beyond a short queue only answers that are still fully useful are worth a wait: a long queue makes all of them late. */
+  private isTimely (entry: Pick<Waiting, 'deadline' | 'usefulUntil'>, ahead: number, mean: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): boolean {
+    const end = now + this.expectedWait(ahead, mean) + mean
+    return end <= (ahead < this.limit ? entry.deadline : Math.min(entry.deadline, entry.usefulUntil))
   }
 }
--- a/packages/proxy/src/host/work.ts
+++ b/packages/proxy/src/host/work.ts
@@ -14,8 +14,12 @@
   readonly priority: number
   readonly deadline: Decisions.Clock.Milliseconds
   readonly latencyObjective: Decisions.Clock.Milliseconds
+  /** Instant until which an answer is fully useful. */
+  readonly usefulUntil: Decisions.Clock.Milliseconds
   /** Whether the request may queue here; otherwise it is refused when no slot is free. */
   readonly mayWait: boolean
+  /** Tells the requester that the request waits for a slot. */
+  queued (): void
   /** Confirms that the request is about to run and returns its body; undefined when it was withdrawn. */
   commit (): Promise<Buffer | undefined>
   /** Calls `listener` when the requester withdraws. */
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -39,6 +39,23 @@
     await this.register(announcement)
   }
 
+  /**
+   * Takes over the newest registration of this host after a restart, so that the target gets work before its next
+   * announcement. A target that has left is registered as such before its goodbye is acknowledged.
+   */
+  adopt (): void {
+    const { localTarget, log, host, directory, settings } = this.parts
+    if (localTarget.announced !== undefined) return
+    const registrations = directory.all().filter(registration => registration.host === settings.place.host)
+    const newest = registrations.reduce<Registrations.Registration | undefined>(
+      (best, registration) => best === undefined || registration.incarnation > best.incarnation ? registration : best, undefined)
+    if (newest?.state !== 'ready' || newest.service !== settings.service) return
+    const { target, service, slots, state, incarnation, sequence } = newest
+    localTarget.hear({ target, service, slots, state, incarnation, sequence })
+    host.targetReplaced(slots)
+    log.info('local target adopted from its registration', { target, incarnation, sequence })
+  }
+
   /** Goodbye of a backend server. Nothing is sent to it from now on. */
   async left (target: Decisions.Ids.TargetId): Promise<void> {
     const { localTarget, log } = this.parts
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -57,6 +57,8 @@
 
 /** Callers send no new work to a node after two unanswered readiness checks, one a second. */
 const CALLERS_LEAVE = Decisions.Clock.milliseconds(3_300)
+/** Time after the request to stop at which the host takes no new work; what runs then ends within the stop limit. */
+const HOST_LEAVES = Decisions.Clock.milliseconds(2_400)
 const STOP_CHECK_MS = 50
 /** Time before the stop limit at which the process ends even with requests in flight. */
 const STOP_MARGIN = Decisions.Clock.milliseconds(400)
@@ -95,10 +97,12 @@
     this.stopping = true
     const startedAt = clock.now()
     log.info('planned stop begins', { inFlight: gateway.inFlight, hosted: hostServer.inFlight })
-    host.leave()
     gateway.leave()
     const limit = startedAt + settings.stopLimit - STOP_MARGIN
     const inFlight = (): number => gateway.inFlight + hostServer.inFlight + host.running
+    // Until the callers have left, the target's capacity is still of use to other nodes.
+    await pause(HOST_LEAVES)
+    host.leave()
     while (clock.now() < limit && (clock.now() < startedAt + CALLERS_LEAVE || inFlight() > 0)) await pause(STOP_CHECK_MS)
     const cut = inFlight()
     synchronizer.stop()
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -4,6 +4,7 @@
 import type * as Directories from '../directory/directory.js'
 import type * as Registrations from '../directory/registration.js'
 import type * as HostViews from '../entry/host-views.js'
+import type * as Membership from '../membership.js'
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Routes from '../routes/route.js'
@@ -41,6 +42,7 @@
   readonly views: HostViews.HostViews
   readonly peerState: PeerStates.PeerState
   readonly registrar: Registrars.Registrar
+  readonly membership: Membership.Membership
   readonly readConfiguration: ReadConfiguration
 }
 
@@ -106,6 +108,7 @@
   private targetsSynchronized (): void {
     if (this.synchronized) return
     this.synchronized = true
+    this.parts.membership.adopt()
     this.parts.log.info('directory read', { targets: this.parts.directory.readyCount })
   }
 
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -72,6 +72,11 @@
     this.send()
   }
 
+  /** Whether the peer was last known to hold the request in its queue. */
+  get isQueued (): boolean {
+    return this.queued
+  }
+
   /** Withdraws the request. The connection is closed, which tells the peer; `end` tells whether it may have run. */
   cancel (reason: string): void {
     this.fail(reason)
@@ -126,6 +131,7 @@
   private commit (): void {
     if (this.over) return
     this.committed = true
+    this.queued = false
     this.request.end(this.plan.body)
   }
 
--- a/packages/proxy/tests/support/scripted-sender.ts
+++ b/packages/proxy/tests/support/scripted-sender.ts
@@ -28,6 +28,7 @@
     return {
       target: registration.target,
       outcome,
+      isQueued: () => false,
       withdraw: () => {
         sent.withdrawn = true
         end({ kind: 'withdrawn' })
