fix(proxy): tell errors of called services from errors of the target

Under load the called service refused calls, each error closed a gate, and 8 of 8 hosts answered 'target-closed'.

Ruled out: capacity (1,046 were served while most gates were closed); a reset in the second case (its test passed before).

Change: errors right after a failed call are no evidence; calls go first; a request that found three closed targets is tried all the same; a response without a length has none at the caller either.

--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -33,6 +33,8 @@
 const HEDGE_SHARE = 0.5
 /** Attempts that may be refused before a host may queue the request. */
 const REFUSALS_BEFORE_QUEUE = 2
+/** Closed targets after which one is tried all the same: a third of a service may fail at a time, so three in a row are rare. */
+const REFUSALS_BEFORE_INSISTING = 3
 /** Refusals after which the request is given up. */
 const REFUSALS_MAXIMUM = 8
 /** Hosts that may say that the request cannot finish in time there; their queues are alike under a lasting overload. */
@@ -60,6 +62,7 @@
   private runs = 0
   private refusals = 0
   private lateRefusals = 0
+  private closedRefusals = 0
   private shed = false
   /** The budget has allowed a repeat that has not reached a target yet. */
   private paid = false
@@ -104,7 +107,9 @@
     const { request, parts } = this
     const view = parts.views.of(registration.target)
     const full = HostViews.busyness(view, now) >= registration.slots
-    const sending = parts.sender.send(request, registration, full || this.refusals >= REFUSALS_BEFORE_QUEUE)
+    const sending = parts.sender.send(request, registration, {
+      mayWait: full || this.refusals >= REFUSALS_BEFORE_QUEUE, insists: this.closedRefusals >= REFUSALS_BEFORE_INSISTING
+    })
     const step: Step = { target: registration.target, startedAt: now, result: 'open' }
     this.steps.push(step)
     this.active.set(sending, step)
@@ -167,6 +172,7 @@
     this.refusals += 1
     if (reason === 'target-shed') this.shed = true
     this.lastRefusal = { kind: 'not-run', reason, retryAfter }
+    if (reason === 'target-closed') this.closedRefusals += 1
     if (reason === 'too-late') this.lateRefusals += 1
     if (this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM) this.giveUp(this.lastRefusal)
     else if (this.runs === 0 || this.mayRepeat()) this.next()
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -3,10 +3,12 @@
 import type * as Net from 'node:net'
 import * as Decisions from '@jasminedale/decisions'
 import * as Forwarding from '../host/forwarding.js'
+import type * as Hosts from '../host/host.js'
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Routes from '../routes/route.js'
 import * as RouteTables from '../routes/route-table.js'
+import type * as Settings from '../settings.js'
 import type * as Configurations from '../state/configuration.js'
 import * as Bodies from '../transport/body.js'
 import type * as Dialects from '../transport/dialect.js'
@@ -22,6 +24,7 @@
 const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
 const STATUS_TOO_LARGE = 413
+const SERVER_ERROR = 500
 const STATUS_BAD_GATEWAY = 502
 const STATUS_UNAVAILABLE = 503
 const STATUS_GATEWAY_TIMEOUT = 504
@@ -34,6 +37,8 @@
   readonly metrics: Metrics.Metrics
   readonly configuration: Configurations.ConfigurationState
   readonly random: Decisions.Random.Random
+  readonly host: Pick<Hosts.Host, 'callFailed'>
+  readonly settings: Pick<Settings.ProxySettings, 'targetAddress'>
 }
 
 interface Inbound {
@@ -104,6 +109,7 @@
       body: body.value,
       route,
       service,
+      called: this.isFromTarget(request),
       arrivedAt: inbound.arrivedAt,
       deadline: Decisions.Clock.add(inbound.arrivedAt, Decisions.Clock.milliseconds(remaining))
     })
@@ -121,6 +127,12 @@
     return { status: STATUS_NOT_FOUND, reason: 'route-unknown' }
   }
 
+  /** The backend server of this VM calls from its own address; callers have others. */
+  private isFromTarget (request: Http.IncomingMessage): boolean {
+    const address = this.parts.settings.targetAddress
+    return request.socket.remoteAddress === address.slice(0, address.lastIndexOf(':'))
+  }
+
   private count (socket: Net.Socket, change: number): void {
     this.open += change
     this.pending.set(socket, (this.pending.get(socket) ?? 0) + change)
@@ -130,11 +142,12 @@
     const dispatch = new Dispatches.Dispatch(entry, this.parts)
     inbound.response.once('close', () => { if (!inbound.response.writableFinished) dispatch.abandon() })
     const answer = await dispatch.answer
+    if (entry.called && !isServed(answer)) this.parts.host.callFailed()
     const elapsed = Math.round(this.parts.clock.now() - entry.arrivedAt)
     this.parts.metrics.answered(entry.service, answer.kind, elapsed)
     const { configuration } = this.parts
     this.parts.log.info(`request ended: ${answer.kind}`, {
-      request: entry.id, route: entry.route.name, service: entry.service, ...describe(answer), elapsed,
+      request: entry.id, route: entry.route.name, called: entry.called, service: entry.service, ...describe(answer), elapsed,
       limit: Math.round(entry.deadline - entry.arrivedAt),
       attempts: dispatch.steps.map(step => `${step.target}:${step.result}`),
       version: configuration.current?.version, versionAge: Math.round(configuration.age(this.parts.clock.now()))
@@ -146,7 +159,7 @@
     const { dialect } = this.parts
     switch (answer.kind) {
       case 'response':
-        this.write(inbound, answer.response.status, Headers.passedOn(answer.response.headers, Forwarding.BETWEEN_NODES), answer.response.body)
+        this.write(inbound, answer.response.status, Headers.passedOn(answer.response.headers, Forwarding.BETWEEN_NODES), answer.response.body, answer.response.framed)
         break
       case 'not-run':
         this.write(inbound, STATUS_UNAVAILABLE, [
@@ -171,10 +184,12 @@
     this.write(inbound, rejection.status, [...dialect.answerFields(inbound.id), ...retry], Bodies.EMPTY)
   }
 
-  private write ({ request, response }: Inbound, status: number, headers: readonly string[], body: Buffer): void {
+  private write ({ request, response }: Inbound, status: number, headers: readonly string[], body: Buffer, framed = true): void {
     if (response.destroyed) return
     const fields = [...headers]
-    if (!BODYLESS.has(status)) fields.push('Content-Length', String(body.length))
+    // A body that may have been cut off unnoticed must not look complete: it ends with the connection here too.
+    if (!framed) response.useChunkedEncodingByDefault = false
+    else if (!BODYLESS.has(status)) fields.push('Content-Length', String(body.length))
     // Requests behind this one on the connection would be lost with it.
     const last = (this.pending.get(request.socket) ?? 0) <= 1
     if (!request.complete || (this.leaving && last)) fields.push('Connection', 'close')
@@ -184,6 +199,10 @@
   }
 }
 
+function isServed (answer: Answers.Answer): boolean {
+  return answer.kind === 'response' && answer.response.status < SERVER_ERROR
+}
+
 function describe (answer: Answers.Answer): Readonly<Record<string, string | number>> {
   switch (answer.kind) {
     case 'response': return { status: answer.response.status }
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -17,6 +17,8 @@
 /** A response that has begun to arrive by the deadline may take this much longer between nodes. */
 const ARRIVAL_MARGIN = Decisions.Clock.milliseconds(40)
 const RESPONSE_LIMIT = 67_108_864
+/** Rank of calls of a running request, before all ranks of routes: a slot is already taken by the request that waits for them. */
+const CALL_PRIORITY = -1
 /** Pause after a host said that it does not serve the target. */
 const ABSENT_PAUSE = Decisions.Clock.seconds(1)
 
@@ -40,20 +42,28 @@
   withdraw (): void
 }
 
+/** What an attempt asks of the host. */
+export interface SendTerms {
+  /** The request may queue there. */
+  readonly mayWait: boolean
+  /** The target is to be tried although it has just failed. */
+  readonly insists: boolean
+}
+
 export class Sender {
   constructor (private readonly parts: SenderParts) {}
 
-  send (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
+  send (request: Requests.EntryRequest, registration: Registrations.Registration, terms: SendTerms): Sending {
     const view = this.parts.views.of(registration.target)
     view.inFlight += 1
     const sending = registration.host === this.parts.place.host
-      ? this.sendLocally(request, registration, mayWait)
-      : this.forward(request, registration, mayWait)
+      ? this.sendLocally(request, registration, terms)
+      : this.forward(request, registration, terms)
     void sending.outcome.finally(() => { view.inFlight -= 1 })
     return sending
   }
 
-  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
+  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, { mayWait, insists }: SendTerms): Sending {
     const listeners: (() => void)[] = []
     const state = { queued: false }
     const { target } = registration
@@ -66,11 +76,12 @@
       path: request.path,
       headers: request.headers,
       repeatable: request.route.repeatable,
-      priority: request.route.priority,
+      priority: priorityOf(request),
       deadline: request.deadline,
       latencyObjective: request.route.latencyObjective,
       usefulUntil: Decisions.Clock.add(request.arrivedAt, request.route.latencyObjective),
       mayWait,
+      insists,
       queued: () => { state.queued = true },
       commit: () => {
         state.queued = false
@@ -85,20 +96,20 @@
     return { target, outcome, isQueued: () => state.queued, withdraw: () => { for (const listener of listeners) listener() } }
   }
 
-  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Sending {
+  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { mayWait, insists }: SendTerms): Sending {
     const { clock, connections, origin } = this.parts
     const { target } = registration
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
-    const terms = Forwarding.formatTerms({
+    const fields = Forwarding.formatTerms({
       target, remaining, latencyObjective: request.route.latencyObjective,
-      useful: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.route.priority,
-      repeatable: request.route.repeatable, mayWait, origin
+      useful: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: priorityOf(request),
+      repeatable: request.route.repeatable, mayWait, insists, origin
     })
     const exchange = new Exchanges.Exchange({
       address: registration.host,
       method: request.method,
       path: request.path,
-      headers: [...request.headers, ...terms],
+      headers: [...request.headers, ...fields],
       body: request.body,
       timeout: Decisions.Clock.add(remaining, ARRIVAL_MARGIN),
       connectTimeout: Decisions.Clock.milliseconds(Math.min(CONNECT_TIMEOUT, remaining)),
@@ -156,6 +167,10 @@
   }
 }
 
+function priorityOf (request: Requests.EntryRequest): number {
+  return request.called ? CALL_PRIORITY : request.route.priority
+}
+
 /** What a withdrawn attempt proves: without confirmation the host has not run it. */
 function withdrawal (end: Exchanges.ExchangeEnd): Works.Outcome {
   return end.kind === 'not-sent' ? { kind: 'refused', reason: 'too-late', retryAfter: 0 } : { kind: 'withdrawn' }
--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -5,7 +5,7 @@
 import * as HostReports from './host-report.js'
 import * as Works from './work.js'
 
-/** Terms of the forwarded request: target, milliseconds left, objective, milliseconds in which an answer is fully useful, priority, repeatable, may wait, origin. */
+/** Terms of the forwarded request: target, milliseconds left, objective, milliseconds in which an answer is fully useful, priority, repeatable, may wait, insists, origin. */
 const TERMS = 'jasminedale-work'
 /** State of the host. */
 const REPORT = 'jasminedale-host'
@@ -14,9 +14,12 @@
 /** Why nobody knows whether the request ran. */
 const FAILED = 'jasminedale-failed'
 
-export const BETWEEN_NODES: ReadonlySet<string> = new Set([TERMS, REPORT, REFUSED, FAILED])
+/** The target's response had no length: only the end of its connection marked the end of the body. */
+const UNFRAMED = 'jasminedale-unframed'
 
-const FIELDS = 8
+export const BETWEEN_NODES: ReadonlySet<string> = new Set([TERMS, REPORT, REFUSED, FAILED, UNFRAMED])
+
+const FIELDS = 9
 const STATUS_REFUSED = 503
 const STATUS_FAILED = 502
 
@@ -30,13 +33,14 @@
   readonly priority: number
   readonly repeatable: boolean
   readonly mayWait: boolean
+  readonly insists: boolean
   readonly origin: Decisions.Ids.Service
 }
 
 export function formatTerms (terms: Terms): string[] {
   const fields = [
     terms.target, Math.round(terms.remaining), Math.round(terms.latencyObjective), Math.round(terms.useful), terms.priority,
-    Number(terms.repeatable), Number(terms.mayWait), terms.origin
+    Number(terms.repeatable), Number(terms.mayWait), Number(terms.insists), terms.origin
   ]
   return [TERMS, fields.join(' ')]
 }
@@ -44,7 +48,7 @@
 /** Undefined when the request is not a forwarded one or its terms cannot be read. */
 export function parseTerms (headers: readonly string[]): Terms | undefined {
   const fields = Headers.first(headers, TERMS)?.split(' ') ?? []
-  const [target, remaining, objective, useful, priority, repeatable, mayWait, origin] = fields
+  const [target, remaining, objective, useful, priority, repeatable, mayWait, insists, origin] = fields
   if (fields.length !== FIELDS || target === undefined || origin === undefined) return undefined
   const numbers = [remaining, objective, useful, priority].map(Number)
   if (!numbers.every(Number.isFinite)) return undefined
@@ -56,6 +60,7 @@
     priority: Number(priority),
     repeatable: repeatable === '1',
     mayWait: mayWait === '1',
+    insists: insists === '1',
     origin: Decisions.Ids.service(origin)
   }
 }
@@ -65,10 +70,13 @@
   const state = [REPORT, HostReports.format(report)]
   const body = Buffer.alloc(0)
   switch (outcome.kind) {
-    case 'answered': return { ...outcome.response, headers: [...Headers.passedOn(outcome.response.headers, BETWEEN_NODES), ...state] }
-    case 'refused': return { status: STATUS_REFUSED, headers: [REFUSED, `${outcome.reason} ${Math.ceil(outcome.retryAfter)}`, ...state], body }
-    case 'failed': return { status: STATUS_FAILED, headers: [FAILED, outcome.reason, ...state], body }
-    case 'withdrawn': return { status: STATUS_FAILED, headers: [FAILED, 'host-lost', ...state], body }
+    case 'answered': {
+      const marks = outcome.response.framed ? state : [...state, UNFRAMED, '1']
+      return { ...outcome.response, headers: [...Headers.passedOn(outcome.response.headers, BETWEEN_NODES), ...marks] }
+    }
+    case 'refused': return { status: STATUS_REFUSED, headers: [REFUSED, `${outcome.reason} ${Math.ceil(outcome.retryAfter)}`, ...state], body, framed: true }
+    case 'failed': return { status: STATUS_FAILED, headers: [FAILED, outcome.reason, ...state], body, framed: true }
+    case 'withdrawn': return { status: STATUS_FAILED, headers: [FAILED, 'host-lost', ...state], body, framed: true }
   }
 }
 
@@ -90,5 +98,6 @@
   if (failed !== undefined) {
     return { outcome: { kind: 'failed', reason: Works.isFailureReason(failed) ? failed : 'host-lost', detail: 'reported by the host' }, report }
   }
-  return { outcome: { kind: 'answered', response: { ...response, headers: Headers.passedOn(response.headers, BETWEEN_NODES) } }, report }
+  const framed = Headers.first(response.headers, UNFRAMED) === undefined
+  return { outcome: { kind: 'answered', response: { ...response, framed, headers: Headers.passedOn(response.headers, BETWEEN_NODES) } }, report }
 }
--- a/packages/proxy/src/host/gate.ts
+++ b/packages/proxy/src/host/gate.ts
@@ -33,9 +33,17 @@
     return this.closedUntil === undefined ? undefined : Math.max(0, this.closedUntil - now)
   }
 
-  /** Decides about one request. A passage of `trial` must be reported back by `succeeded`, `failed` or `abandoned`. */
-  admit (repeatable: boolean, now: Decisions.Clock.Milliseconds): Passage {
+  /**
+   * Decides about one request. A passage of `trial` must be reported back by `succeeded`, `failed` or `abandoned`.
+   * A request that `insists` found no other target; trying it here is better than not serving it.
+   */
+  admit (repeatable: boolean, insists: boolean, now: Decisions.Clock.Milliseconds): Passage {
     if (this.closedUntil === undefined) return 'pass'
+    if (insists) {
+      if (this.trialRunning) return 'pass'
+      this.trialRunning = true
+      return 'trial'
+    }
     if (now < this.closedUntil || this.trialRunning) return 'closed'
     if (!repeatable && now < this.closedUntil + PATIENCE) return 'closed'
     this.trialRunning = true
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -65,6 +65,7 @@
       latencyObjective: terms.latencyObjective,
       usefulUntil: Decisions.Clock.add(clock.now(), terms.useful),
       mayWait: terms.mayWait,
+      insists: terms.insists,
       // The sender must not take the wait for a failure.
       queued: () => { response.writeProcessing() },
       commit,
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -19,6 +19,8 @@
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Largest response that is held in memory, in bytes. */
 const RESPONSE_LIMIT = 67_108_864
+/** Time within which a target answers its caller after a call of its own has failed. */
+const CALL_ERROR_SPAN = Decisions.Clock.milliseconds(50)
 /** Pause after which a requester may try a full target again. */
 const BUSY_RETRY = 50
 /** Pause after which a requester may look for a target that is gone; the directory follows within it. */
@@ -42,6 +44,7 @@
   private readonly serviceTime = new ServiceTimes.ServiceTime()
   private readonly connections = new Connections.Connections()
   private leaving = false
+  private callFailedAt: Decisions.Clock.Milliseconds | undefined
 
   constructor (parts: HostParts) {
     this.parts = parts
@@ -53,6 +56,11 @@
     this.slots.resize(slots)
   }
 
+  /** A call that the local target made through this node was not served. */
+  callFailed (): void {
+    this.callFailedAt = this.parts.clock.now()
+  }
+
   /** Refuses work from now on, because this node stops. */
   leave (): void {
     this.leaving = true
@@ -95,7 +103,7 @@
     const refusal = this.unavailable(work)
     if (refusal !== undefined) return refusal
     const now = this.parts.clock.now()
-    const passage = this.gate.admit(work.repeatable, now)
+    const passage = this.gate.admit(work.repeatable, work.insists, now)
     if (passage === 'closed') return Works.refused('target-closed', this.gate.closedFor(now) ?? BUSY_RETRY)
     return passage
   }
@@ -157,7 +165,7 @@
 
   private closed (work: Works.Work): Works.Outcome | undefined {
     const closedFor = this.gate.closedFor(this.parts.clock.now())
-    return closedFor === undefined || work.repeatable ? undefined : Works.refused('target-closed', closedFor)
+    return closedFor === undefined || work.repeatable || work.insists ? undefined : Works.refused('target-closed', closedFor)
   }
 
   private send (work: Works.Work, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
@@ -209,7 +217,7 @@
     switch (outcome.kind) {
       case 'answered': {
         const failed = outcome.response.status >= SERVER_ERROR
-        if (outcome.response.status === STATUS_TIMEOUT && elapsed < work.latencyObjective) {
+        if (failed && this.isExplained(outcome.response.status, work, elapsed, now)) {
           this.gate.abandoned(passage)
           break
         }
@@ -242,6 +250,14 @@
     }
   }
 
+  /** An error that says nothing about the target: a short timeout, or a call of its own that failed elsewhere. */
+  private isExplained (status: number, work: Works.Work, elapsed: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): boolean {
+    if (status === STATUS_TIMEOUT && elapsed < work.latencyObjective) return true
+    const callFailed = this.callFailedAt !== undefined && this.callFailedAt >= now - elapsed && now - this.callFailedAt <= CALL_ERROR_SPAN
+    if (callFailed) this.parts.log.info('target answered with an error after a call of its own failed', { request: work.request, target: work.target, status })
+    return callFailed
+  }
+
   private observeRefusal (work: Works.Work, reason: Works.RefusalReason, passage: Gates.Passage, now: Decisions.Clock.Milliseconds): void {
     if (reason === 'target-unreachable') this.gate.failed(passage, now)
     else this.gate.abandoned(passage)
--- a/packages/proxy/src/host/work.ts
+++ b/packages/proxy/src/host/work.ts
@@ -18,6 +18,8 @@
   readonly usefulUntil: Decisions.Clock.Milliseconds
   /** Whether the request may queue here; otherwise it is refused when no slot is free. */
   readonly mayWait: boolean
+  /** Other targets are closed; this one is tried although it has just failed. */
+  readonly insists: boolean
   /** Tells the requester that the request waits for a slot. */
   queued (): void
   /** Confirms that the request is about to run and returns its body; undefined when it was withdrawn. */
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -8,6 +8,8 @@
   readonly status: number
   readonly headers: string[]
   readonly body: Buffer
+  /** Whether a length or chunks marked the end of the body, so that it is known to be complete. */
+  readonly framed: boolean
 }
 
 export type ExchangeEnd =
@@ -145,7 +147,7 @@
       this.fail(body.isErr() ? `response is ${body.error.kind}` : 'connection was reset within a response without a length')
       return
     }
-    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value } })
+    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, framed: !isUnframed(message) } })
   }
 
   private after (duration: number, reason: string, applies: () => boolean = () => true): NodeJS.Timeout {
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -17,7 +17,7 @@
 const NAMES = ['a', 'bb', 'ccc', 'dddd']
 
 function answered (status: number): Works.Outcome {
-  return { kind: 'answered', response: { status, headers: [], body: Buffer.alloc(0) } }
+  return { kind: 'answered', response: { status, headers: [], body: Buffer.alloc(0), framed: true } }
 }
 
 function dispatch (sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000): Dispatches.Dispatch {
@@ -27,7 +27,7 @@
   const place: Placements.Place = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
   const request: Requests.EntryRequest = {
     id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
-    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline: Decisions.Clock.seconds(2)
+    service: Samples.SERVICE, called: false, arrivedAt: CLOCK.now(), deadline: Decisions.Clock.seconds(2)
   }
   return new Dispatches.Dispatch(request, {
     clock: CLOCK, directory, views, placer: new Placements.Placer(place, views, new Decisions.Random.Random(5)),
@@ -63,7 +63,7 @@
   const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt < 3 ? Works.refused('target-busy', 50) : answered(200))
   const answer = await dispatch(sender, { repeatable: false }).answer
   assert.equal(answer.kind, 'response')
-  assert.deepEqual(sender.sent.map(({ mayWait }) => mayWait), [false, false, true])
+  assert.deepEqual(sender.sent.map(({ terms }) => terms.mayWait), [false, false, true])
 })
 
 // Found in the first run on the platform: a repeat that a host refused spent the budget, and the caller got the error.
@@ -99,3 +99,9 @@
   const answer = await dispatch(new ScriptedSenders.ScriptedSender(), { latencyObjective: Decisions.Clock.milliseconds(0) }, []).answer
   assert.equal(answer.kind, 'not-run')
 })
+
+test('request that finds only closed targets insists', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt < 4 ? Works.refused('target-closed', 50) : answered(200))
+  await dispatch(sender, { repeatable: false }).answer
+  assert.deepEqual(sender.sent.map(({ terms }) => terms.insists), [false, false, false, true])
+})
--- a/packages/proxy/tests/host/forwarding.test.ts
+++ b/packages/proxy/tests/host/forwarding.test.ts
@@ -11,7 +11,7 @@
 test('terms survive the way between nodes', () => {
   const terms: Forwarding.Terms = {
     target: Decisions.Ids.targetId('t1'), remaining: Decisions.Clock.milliseconds(900), latencyObjective: Decisions.Clock.milliseconds(300), useful: Decisions.Clock.milliseconds(250),
-    priority: 2, repeatable: false, mayWait: true, origin: Decisions.Ids.service('accounts')
+    priority: 2, repeatable: false, mayWait: true, insists: false, origin: Decisions.Ids.service('accounts')
   }
   assert.deepEqual(Forwarding.parseTerms(Forwarding.formatTerms(terms)), terms)
 })
@@ -29,12 +29,19 @@
 
 // Guards against a response of something else at a host's address that is taken for proof that nothing ran.
 test('response without a report proves nothing', () => {
-  const { outcome } = Forwarding.parseOutcome({ status: 503, headers: ['jasminedale-refused', 'target-busy 50'], body: Buffer.alloc(0) })
+  const { outcome } = Forwarding.parseOutcome({ status: 503, headers: ['jasminedale-refused', 'target-busy 50'], body: Buffer.alloc(0), framed: true })
   assert.equal(outcome.kind, 'failed')
 })
 
 test('fields between nodes do not reach callers', () => {
-  const response = Forwarding.formatOutcome({ kind: 'answered', response: { status: 200, headers: ['x', '1'], body: Buffer.from('a') } }, REPORT)
+  const response = Forwarding.formatOutcome({ kind: 'answered', response: { status: 200, headers: ['x', '1'], body: Buffer.from('a'), framed: true } }, REPORT)
   const { outcome } = Forwarding.parseOutcome(response)
-  assert.deepEqual(outcome, { kind: 'answered', response: { status: 200, headers: ['x', '1'], body: Buffer.from('a') } })
+  assert.deepEqual(outcome, { kind: 'answered', response: { status: 200, headers: ['x', '1'], body: Buffer.from('a'), framed: true } })
+})
+
+// Found on Ceara trouble-2: a body without a length that its target cut off reached the caller with a length.
+test('missing frame survives the way between nodes', () => {
+  const response = { status: 200, headers: [], body: Buffer.from('a'), framed: false }
+  const { outcome } = Forwarding.parseOutcome({ ...Forwarding.formatOutcome({ kind: 'answered', response }, REPORT), framed: true })
+  assert.equal(outcome.kind === 'answered' && outcome.response.framed, false)
 })
--- a/packages/proxy/tests/support/scripted-sender.ts
+++ b/packages/proxy/tests/support/scripted-sender.ts
@@ -7,7 +7,7 @@
 
 export interface Sent {
   readonly target: Decisions.Ids.TargetId
-  readonly mayWait: boolean
+  readonly terms: Senders.SendTerms
   withdrawn: boolean
   end (outcome: Works.Outcome): void
 }
@@ -18,10 +18,10 @@
   /** `script` answers an attempt at once; undefined leaves it open. */
   constructor (private readonly script: (target: Decisions.Ids.TargetId, attempt: number) => Works.Outcome | undefined = () => undefined) {}
 
-  send (_request: Requests.EntryRequest, registration: Registrations.Registration, mayWait: boolean): Senders.Sending {
+  send (_request: Requests.EntryRequest, registration: Registrations.Registration, terms: Senders.SendTerms): Senders.Sending {
     let end: (outcome: Works.Outcome) => void = () => { /* Set by the promise. */ }
     const outcome = new Promise<Works.Outcome>(resolve => { end = resolve })
-    const sent: Sent = { target: registration.target, mayWait, withdrawn: false, end }
+    const sent: Sent = { target: registration.target, terms, withdrawn: false, end }
     this.sent.push(sent)
     const scripted = this.script(registration.target, this.sent.length)
     if (scripted !== undefined) end(scripted)
