--- a/eslint.config.js
+++ b/eslint.config.js
@@ -42,7 +42,7 @@
     }
   },
   {
-    files: ['packages/*/src/**/*.ts'],
+    files: ['packages/*/src/**/*.ts', 'platform/src/**/*.ts'],
     rules: { 'max-lines-per-function': ['error', { max: 40, skipBlankLines: true, skipComments: true }] }
   },
   {
@@ -56,9 +56,20 @@
       ]
     }
   },
+  {
+    // The adapter knows the product; the product knows neither the adapter nor the names of its wire.
+    files: ['packages/*/src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': ['error',
+        { selector: 'ImportDeclaration[source.value!="node:test"] > ImportSpecifier', message: 'Import modules as a namespace.' },
+        { selector: 'ImportDeclaration[source.value=/platform/]', message: 'Packages do not import the adapter.' },
+        { selector: 'Literal[value=/instances\\.|keyed\\.|jasminedale-(request-id|response-stamp|not-executed|expected-instance|caller-service|deadline-ms)|jasminedale\\u002f(rpc|log-|readiness)/i]', message: 'Names of the platform belong to platform/.' }
+      ]
+    }
+  },
   {
     // node:test returns promises that the runner itself awaits.
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: { '@typescript-eslint/no-floating-promises': 'off' }
   },
   {
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -93,7 +93,7 @@
 
   /** Finishes the requests in flight and ends. Returns the number that was cut off. */
   async stop (): Promise<number> {
-    const { clock, gateway, host, hostServer, log, servers, synchronizer, settings, sharedLog, registrar } = this.parts
+    const { clock, gateway, host, hostServer, log, settings } = this.parts
     this.stopping = true
     const startedAt = clock.now()
     log.info('planned stop begins', { inFlight: gateway.inFlight, hosted: hostServer.inFlight })
@@ -105,12 +105,19 @@
     host.leave()
     while (clock.now() < limit && (clock.now() < startedAt + CALLERS_LEAVE || inFlight() > 0)) await pause(STOP_CHECK_MS)
     const cut = inFlight()
+    this.close()
+    log.info('node stopped', { after: Math.round(clock.now() - startedAt), cut })
+    return cut
+  }
+
+  /** Ends the node at once. */
+  close (): void {
+    const { servers, synchronizer, sharedLog, registrar, connections } = this.parts
     synchronizer.stop()
     registrar.stop()
     sharedLog.close()
     servers.close()
-    log.info('node stopped', { after: Math.round(clock.now() - startedAt), cut })
-    return cut
+    connections.destroy()
   }
 }
 
