fix(proxy): forget a target that answers for another, insist last

After all machines lost power the targets had new ids; each adopted registration led to a 421 for each request until the next announcement, and those arrivals count as repeats.

Ruled out: hedges and repeats of safe requests (the shown request is a non-idempotent one with six 421 in a row).

Change: a 421 makes the host forget its target; it counts against the budget; a request insists only when no target is left or after six closed ones; zones are left a little later, for the bytes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
 ]
 
 export default tseslint.config(
-  { ignores: ['**/dist/', '**/generated/', 'reports/'] },
+  { ignores: ['**/dist/', 'target/', '**/generated/', 'reports/'] },
   ...tseslint.configs.strictTypeChecked,
   stylistic.configs.customize({ indent: 2, quotes: 'single', semi: false, commaDangle: 'never', braceStyle: '1tbs', arrowParens: false }),
   {
--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -29,12 +29,14 @@
 }
 
 const SERVER_ERROR = 500
+/** Refusals by the target itself; each counts as an arrival in the shared budget. */
+const REACHED_TARGET: ReadonlySet<Works.RefusalReason> = new Set<Works.RefusalReason>(['target-shed', 'target-changed'])
 /** Share of the latency objective after which a silent repeatable request is tried elsewhere too: time for a second run is left. */
 const HEDGE_SHARE = 0.5
 /** Attempts that may be refused before a host may queue the request. */
 const REFUSALS_BEFORE_QUEUE = 2
-/** Closed targets after which one is tried all the same: a third of a service may fail at a time, so three in a row are rare. */
-const REFUSALS_BEFORE_INSISTING = 3
+/** Closed targets after which one is tried all the same: a third of a service may fail at a time, so six in a row are rare. */
+const REFUSALS_BEFORE_INSISTING = 6
 /** Refusals after which the request is given up. */
 const REFUSALS_MAXIMUM = 8
 /** Hosts that may say that the request cannot finish in time there; their queues are alike under a lasting overload. */
@@ -63,6 +65,8 @@
   private refusals = 0
   private lateRefusals = 0
   private closedRefusals = 0
+  /** All targets were closed, and one was asked to run the request all the same. */
+  private insisted = false
   private shed = false
   /** The budget has allowed a repeat that has not reached a target yet. */
   private paid = false
@@ -87,8 +91,8 @@
     const { request, parts } = this
     const now = parts.clock.now()
     const candidates = parts.directory.ready(request.service)
-    const wish = { careful: !request.route.repeatable || this.runs > 0, excluded: this.excluded }
-    const chosen = parts.placer.choose(candidates, wish, now)
+    const wish = { careful: !request.route.repeatable || this.runs > 0, insists: false, excluded: this.excluded }
+    const chosen = parts.placer.choose(candidates, wish, now) ?? this.lastResort(candidates, now)
     if (chosen === undefined) {
       this.lackTarget(candidates, now)
       return
@@ -103,12 +107,19 @@
     this.start(chosen, now)
   }
 
+  /** With every target closed, one of them is tried: its last failure may have been the usual rate of errors. */
+  private lastResort (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
+    if (this.closedRefusals === 0 || this.insisted) return undefined
+    this.insisted = true
+    return this.parts.placer.choose(candidates, { careful: false, insists: true, excluded: this.ranOn }, now)
+  }
+
   private start (registration: Registrations.Registration, now: Decisions.Clock.Milliseconds): void {
     const { request, parts } = this
     const view = parts.views.of(registration.target)
     const full = HostViews.busyness(view, now) >= registration.slots
     const sending = parts.sender.send(request, registration, {
-      mayWait: full || this.refusals >= REFUSALS_BEFORE_QUEUE, insists: this.closedRefusals >= REFUSALS_BEFORE_INSISTING
+      mayWait: full || this.refusals >= REFUSALS_BEFORE_QUEUE, insists: this.insisted || this.closedRefusals >= REFUSALS_BEFORE_INSISTING
     })
     const step: Step = { target: registration.target, startedAt: now, result: 'open' }
     this.steps.push(step)
@@ -138,7 +149,7 @@
     this.active.delete(sending)
     if (step === undefined || this.over) return
     step.result = this.nameOf(outcome, step)
-    if (outcome.kind !== 'refused' || outcome.reason === 'target-shed') this.paid = false
+    if (outcome.kind !== 'refused' || REACHED_TARGET.has(outcome.reason)) this.paid = false
     this.parts.metrics.attempted(this.request.service, outcome.kind === 'answered' ? String(outcome.response.status) : step.result)
     if (outcome.kind !== 'refused') this.ranOn.add(sending.target)
     switch (outcome.kind) {
@@ -170,7 +181,7 @@
   private refused (reason: Works.RefusalReason, retryAfter: number): void {
     this.runs -= 1
     this.refusals += 1
-    if (reason === 'target-shed') this.shed = true
+    if (REACHED_TARGET.has(reason)) this.shed = true
     this.lastRefusal = { kind: 'not-run', reason, retryAfter }
     if (reason === 'target-closed') this.closedRefusals += 1
     if (reason === 'too-late') this.lateRefusals += 1
--- a/packages/proxy/src/entry/placement.ts
+++ b/packages/proxy/src/entry/placement.ts
@@ -12,6 +12,8 @@
 export interface Wish {
   /** A failure would be final: targets whose recovery is not confirmed are avoided. */
   readonly careful: boolean
+  /** Targets that are known to be closed are considered too. */
+  readonly insists: boolean
   /** Targets that already ran the request or refused it. */
   readonly excluded: ReadonlySet<Decisions.Ids.TargetId>
 }
@@ -22,7 +24,7 @@
  * Cost of a farther target in units of one slot's load: bytes between zones and regions are paid for,
  * so work leaves a zone only when that zone is about that much busier.
  */
-const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 0.6, 3: 1.8 }
+const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 0.9, 3: 1.8 }
 /** Extra cost of a target whose recovery is not confirmed, for requests that must not fail there. */
 const UNCONFIRMED_COST = 0.8
 /** Ratio to the mean service time of the candidates beyond which slowness counts no further. */
@@ -53,7 +55,7 @@
   /** The target of the next attempt, or undefined when none is usable. */
   choose (candidates: readonly Registrations.Registration[], wish: Wish, now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
     const usable = candidates.filter(candidate => !wish.excluded.has(candidate.target) && this.views.of(candidate.target).avoidedUntil <= now)
-    const open = usable.filter(candidate => (HostViews.closedFor(this.views.of(candidate.target), now) ?? 0) <= 0)
+    const open = usable.filter(candidate => wish.insists || (HostViews.closedFor(this.views.of(candidate.target), now) ?? 0) <= 0)
     const reference = this.meanServiceTime(open)
     const options = open.map(candidate => this.option(candidate, wish, reference, now))
     let best: Option | undefined
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -259,6 +259,7 @@
   }
 
   private observeRefusal (work: Works.Work, reason: Works.RefusalReason, passage: Gates.Passage, now: Decisions.Clock.Milliseconds): void {
+    if (reason === 'target-changed') this.parts.localTarget.replaced(work.target)
     if (reason === 'target-unreachable') this.gate.failed(passage, now)
     else this.gate.abandoned(passage)
     this.parts.log.info('target did not run the request', { request: work.request, target: work.target, reason })
--- a/packages/proxy/src/host/local-target.ts
+++ b/packages/proxy/src/host/local-target.ts
@@ -47,6 +47,11 @@
     return true
   }
 
+  /** Another process answers at the target's address: nothing is known until the next announcement. */
+  replaced (target: Decisions.Ids.TargetId): void {
+    if (this.current?.target === target) this.current = undefined
+  }
+
   private accept (announcement: Announcement): Verdict {
     this.current = announcement
     return 'changed'
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -2,6 +2,7 @@
 import type * as Decisions from '@jasminedale/decisions'
 import type * as Directories from './directory/directory.js'
 import type * as Registrations from './directory/registration.js'
+import type * as HostViews from './entry/host-views.js'
 import type * as Hosts from './host/host.js'
 import type * as LocalTargets from './host/local-target.js'
 import type * as Logs from './observation/log.js'
@@ -15,6 +16,7 @@
   readonly localTarget: LocalTargets.LocalTarget
   readonly host: Hosts.Host
   readonly registrar: Registrars.Registrar
+  readonly views: HostViews.HostViews
 }
 
 export class Membership {
@@ -26,7 +28,7 @@
 
   /** Takes an announcement over. The promise ends when the change, if any, is in the shared log. */
   async announced (announcement: LocalTargets.Announcement): Promise<void> {
-    const { localTarget, log, host, directory } = this.parts
+    const { localTarget, log, host, directory, views } = this.parts
     const before = localTarget.announced
     const known = directory.get(announcement.target)
     const outdated = known !== undefined && known.state !== 'ready' && known.sequence >= announcement.sequence && known.incarnation >= announcement.incarnation
@@ -35,7 +37,10 @@
     const { target, state, sequence, incarnation } = announcement
     log.info(`announcement of the local target: ${verdict}`, { target, state, sequence, incarnation, before: before?.target, stateBefore: before?.state })
     if (verdict === 'outdated') return
-    if (before?.incarnation !== incarnation || before.target !== target) host.targetReplaced(announcement.slots)
+    if (before?.incarnation !== incarnation || before.target !== target) {
+      host.targetReplaced(announcement.slots)
+      views.forget(target)
+    }
     await this.register(announcement)
   }
 
