fix(proxy): do not take callers' failures for calls of the target

Each failure of the target itself then explained its next error away, and all requests had the priority of calls.

Ruled out: the form of the request id, which the protocol does not define.

Change: only a failed request to another service explains an error within 50 ms; the priority of calls is gone.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -38,7 +38,7 @@
   readonly configuration: Configurations.ConfigurationState
   readonly random: Decisions.Random.Random
   readonly host: Pick<Hosts.Host, 'callFailed'>
-  readonly settings: Pick<Settings.ProxySettings, 'targetAddress'>
+  readonly settings: Pick<Settings.ProxySettings, 'service'>
 }
 
 interface Inbound {
@@ -109,7 +109,6 @@
       body: body.value,
       route,
       service,
-      called: this.isFromTarget(request),
       arrivedAt: inbound.arrivedAt,
       deadline: Decisions.Clock.add(inbound.arrivedAt, Decisions.Clock.milliseconds(remaining))
     })
@@ -127,12 +126,6 @@
     return { status: STATUS_NOT_FOUND, reason: 'route-unknown' }
   }
 
-  /** The backend server of this VM calls from its own address; callers have others. */
-  private isFromTarget (request: Http.IncomingMessage): boolean {
-    const address = this.parts.settings.targetAddress
-    return request.socket.remoteAddress === address.slice(0, address.lastIndexOf(':'))
-  }
-
   private count (socket: Net.Socket, change: number): void {
     this.open += change
     this.pending.set(socket, (this.pending.get(socket) ?? 0) + change)
@@ -142,12 +135,13 @@
     const dispatch = new Dispatches.Dispatch(entry, this.parts)
     inbound.response.once('close', () => { if (!inbound.response.writableFinished) dispatch.abandon() })
     const answer = await dispatch.answer
-    if (entry.called && !isServed(answer)) this.parts.host.callFailed()
+    // The backend server of this VM makes its calls here too, and answers with an error when one fails.
+    if (entry.service !== this.parts.settings.service && !isServed(answer)) this.parts.host.callFailed()
     const elapsed = Math.round(this.parts.clock.now() - entry.arrivedAt)
     this.parts.metrics.answered(entry.service, answer.kind, elapsed)
     const { configuration } = this.parts
     this.parts.log.info(`request ended: ${answer.kind}`, {
-      request: entry.id, route: entry.route.name, called: entry.called, service: entry.service, ...describe(answer), elapsed,
+      request: entry.id, route: entry.route.name, service: entry.service, ...describe(answer), elapsed,
       limit: Math.round(entry.deadline - entry.arrivedAt),
       attempts: dispatch.steps.map(step => `${step.target}:${step.result}`),
       version: configuration.current?.version, versionAge: Math.round(configuration.age(this.parts.clock.now()))
--- a/packages/proxy/src/entry/request.ts
+++ b/packages/proxy/src/entry/request.ts
@@ -11,8 +11,6 @@
   readonly body: Buffer
   readonly route: Routes.Route
   readonly service: Decisions.Ids.Service
-  /** The backend server of this VM sent it while it runs a request: to refuse it would waste that one. */
-  readonly called: boolean
   readonly arrivedAt: Decisions.Clock.Milliseconds
   /** The caller's deadline or the route's timeout, whichever is earlier. */
   readonly deadline: Decisions.Clock.Milliseconds
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -17,8 +17,6 @@
 /** A response that has begun to arrive by the deadline may take this much longer between nodes. */
 const ARRIVAL_MARGIN = Decisions.Clock.milliseconds(40)
 const RESPONSE_LIMIT = 67_108_864
-/** Rank of calls of a running request, before all ranks of routes: a slot is already taken by the request that waits for them. */
-const CALL_PRIORITY = -1
 /** Pause after a host said that it does not serve the target. */
 const ABSENT_PAUSE = Decisions.Clock.seconds(1)
 
@@ -76,7 +74,7 @@
       path: request.path,
       headers: request.headers,
       repeatable: request.route.repeatable,
-      priority: priorityOf(request),
+      priority: request.route.priority,
       deadline: request.deadline,
       latencyObjective: request.route.latencyObjective,
       usefulUntil: Decisions.Clock.add(request.arrivedAt, request.route.latencyObjective),
@@ -102,7 +100,7 @@
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const fields = Forwarding.formatTerms({
       target, remaining, latencyObjective: request.route.latencyObjective,
-      useful: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: priorityOf(request),
+      useful: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.route.priority,
       repeatable: request.route.repeatable, mayWait, insists, origin
     })
     const exchange = new Exchanges.Exchange({
@@ -167,10 +165,6 @@
   }
 }
 
-function priorityOf (request: Requests.EntryRequest): number {
-  return request.called ? CALL_PRIORITY : request.route.priority
-}
-
 /** What a withdrawn attempt proves: without confirmation the host has not run it. */
 function withdrawal (end: Exchanges.ExchangeEnd): Works.Outcome {
   return end.kind === 'not-sent' ? { kind: 'refused', reason: 'too-late', retryAfter: 0 } : { kind: 'withdrawn' }
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -19,7 +19,7 @@
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Largest response that is held in memory, in bytes. */
 const RESPONSE_LIMIT = 67_108_864
-/** Time within which a target answers its caller after a call of its own has failed. */
+/** Time within which a target answers its caller after a call of its own has failed; short, since the failed request may be a caller's. */
 const CALL_ERROR_SPAN = Decisions.Clock.milliseconds(50)
 /** Pause after which a requester may try a full target again. */
 const BUSY_RETRY = 50
@@ -56,7 +56,7 @@
     this.slots.resize(slots)
   }
 
-  /** A call that the local target made through this node was not served. */
+  /** A request to another service, perhaps a call of the local target, was not served here. */
   callFailed (): void {
     this.callFailedAt = this.parts.clock.now()
   }
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -27,7 +27,7 @@
   const place: Placements.Place = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
   const request: Requests.EntryRequest = {
     id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
-    service: Samples.SERVICE, called: false, arrivedAt: CLOCK.now(), deadline: Decisions.Clock.seconds(2)
+    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline: Decisions.Clock.seconds(2)
   }
   return new Dispatches.Dispatch(request, {
     clock: CLOCK, directory, views, placer: new Placements.Placer(place, views, new Decisions.Random.Random(5)),
