perf(proxy): index the directory by host and service

Cause: each change of a registration scanned all known targets, which is quadratic for a first read of 78,000.

Ruled out: a smaller directory; that needs a partition a service.

--- a/packages/proxy/src/directory/directory.ts
+++ b/packages/proxy/src/directory/directory.ts
@@ -2,17 +2,28 @@
 import type * as Decisions from '@jasminedale/decisions'
 import * as Registrations from './registration.js'
 
+type Ready = Map<Decisions.Ids.TargetId, Registrations.Registration>
+
 export class Directory {
   private readonly byTarget = new Map<Decisions.Ids.TargetId, Registrations.Registration>()
-  private readonly readyByService = new Map<Decisions.Ids.Service, Registrations.Registration[]>()
+  /** The newest target of each host: a restarted target may have a new id at the same host. */
+  private readonly byHost = new Map<Decisions.Ids.Endpoint, Registrations.Registration>()
+  private readonly byService = new Map<Decisions.Ids.Service, Ready>()
+  /** Lists of ready targets, made when asked for. */
+  private readonly lists = new Map<Decisions.Ids.Service, readonly Registrations.Registration[]>()
+  private readyTotal = 0
 
   /** Takes a registration over if it is newer than what is known; tells whether it was. */
   merge (registration: Registrations.Registration): boolean {
     const known = this.byTarget.get(registration.target)
     if (known !== undefined && !Registrations.isNewer(registration, known)) return false
     this.byTarget.set(registration.target, registration)
-    this.reindex(registration.service)
-    if (known !== undefined && known.service !== registration.service) this.reindex(known.service)
+    const current = this.byHost.get(registration.host)
+    if (current !== undefined && current.target !== registration.target && current.incarnation > registration.incarnation) return true
+    if (known !== undefined) this.unlist(known)
+    if (current !== undefined) this.unlist(current)
+    this.byHost.set(registration.host, registration)
+    this.list(registration)
     return true
   }
 
@@ -21,16 +32,26 @@
     const known = this.byTarget.get(target)
     if (known === undefined) return
     this.byTarget.delete(target)
-    this.reindex(known.service)
+    this.unlist(known)
+    if (this.byHost.get(known.host)?.target === target) this.byHost.delete(known.host)
   }
 
   get (target: Decisions.Ids.TargetId): Registrations.Registration | undefined {
     return this.byTarget.get(target)
   }
 
+  /** The newest target of a host. */
+  atHost (host: Decisions.Ids.Endpoint): Registrations.Registration | undefined {
+    return this.byHost.get(host)
+  }
+
   /** Targets of a service that take new work. */
   ready (service: Decisions.Ids.Service): readonly Registrations.Registration[] {
-    return this.readyByService.get(service) ?? []
+    const known = this.lists.get(service)
+    if (known !== undefined) return known
+    const list = [...this.byService.get(service)?.values() ?? []]
+    this.lists.set(service, list)
+    return list
   }
 
   all (): readonly Registrations.Registration[] {
@@ -39,19 +60,21 @@
 
   /** Number of ready targets, which is the number of nodes that share a budget. */
   get readyCount (): number {
-    let count = 0
-    for (const targets of this.readyByService.values()) count += targets.length
-    return count
-  }
-
-  /** A restarted target may have a new id at the same host; only the newest incarnation of a host is listed. */
-  private reindex (service: Decisions.Ids.Service): void {
-    const byHost = new Map<Decisions.Ids.Endpoint, Registrations.Registration>()
-    for (const registration of this.byTarget.values()) {
-      const other = byHost.get(registration.host)
-      if (other === undefined || registration.incarnation > other.incarnation) byHost.set(registration.host, registration)
-    }
-    const ready = [...byHost.values()].filter(registration => registration.service === service && registration.state === 'ready')
-    this.readyByService.set(service, ready)
+    return this.readyTotal
+  }
+
+  private list (registration: Registrations.Registration): void {
+    if (registration.state !== 'ready') return
+    const ready = this.byService.get(registration.service) ?? new Map<Decisions.Ids.TargetId, Registrations.Registration>()
+    this.byService.set(registration.service, ready)
+    ready.set(registration.target, registration)
+    this.readyTotal += 1
+    this.lists.delete(registration.service)
+  }
+
+  private unlist (registration: Registrations.Registration): void {
+    if (this.byService.get(registration.service)?.delete(registration.target) !== true) return
+    this.readyTotal -= 1
+    this.lists.delete(registration.service)
   }
 }
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -51,9 +51,7 @@
   adopt (): void {
     const { localTarget, log, host, directory, settings } = this.parts
     if (localTarget.announced !== undefined) return
-    const registrations = directory.all().filter(registration => registration.host === settings.place.host)
-    const newest = registrations.reduce<Registrations.Registration | undefined>(
-      (best, registration) => best === undefined || registration.incarnation > best.incarnation ? registration : best, undefined)
+    const newest = directory.atHost(settings.place.host)
     if (newest?.state !== 'ready' || newest.service !== settings.service) return
     const { target, service, slots, state, incarnation, sequence } = newest
     localTarget.hear({ target, service, slots, state, incarnation, sequence })
--- a/packages/proxy/tests/directory/directory.test.ts
+++ b/packages/proxy/tests/directory/directory.test.ts
@@ -36,3 +36,15 @@
   directory.merge(Samples.registration('third'))
   assert.deepEqual(directory.ready(Samples.SERVICE).map(({ target }) => target), ['third'])
 })
+
+// Guards against a cost of each change that grows with the number of all targets.
+test('counts follow changes and removals', () => {
+  const directory = new Directories.Directory()
+  directory.merge(Samples.registration('a'))
+  directory.merge(Samples.registration('bb'))
+  directory.merge(Samples.registration('a', { state: 'leaving', sequence: 2 }))
+  assert.equal(directory.readyCount, 1)
+  directory.remove(Decisions.Ids.targetId('bb'))
+  assert.equal(directory.readyCount, 0)
+  assert.deepEqual(directory.ready(Samples.SERVICE), [])
+})
