fix(proxy): remember goodbyes across the read of the directory

Ruled out: a late write of the store (the record was never written); a late announcement (none came).

Change: goodbyes are remembered with the incarnation, also of unknown targets; such a registration is not adopted but published as gone; a goodbye is acknowledged only when the shared log holds it. An error listener that stayed on each reused connection is removed (MaxListenersExceededWarning in the logs).

--- a/packages/proxy/src/host/local-target.ts
+++ b/packages/proxy/src/host/local-target.ts
@@ -16,6 +16,8 @@
 
 export class LocalTarget {
   private current: Announcement | undefined
+  /** Targets that said goodbye, with their incarnation as far as it is known. */
+  private readonly departed = new Map<Decisions.Ids.TargetId, Decisions.Ids.Incarnation | undefined>()
 
   get announced (): Announcement | undefined {
     return this.current
@@ -28,6 +30,7 @@
   /** Takes an announcement over unless a later one is known. A target that is leaving stays so. */
   hear (announcement: Announcement): Verdict {
     const known = this.current
+    if (this.hasDeparted(announcement.target, announcement.incarnation)) return 'outdated'
     if (known === undefined) return this.accept(announcement)
     if (announcement.incarnation < known.incarnation) return 'outdated'
     if (announcement.incarnation > known.incarnation) return this.accept(announcement)
@@ -40,11 +43,19 @@
     return same ? 'unchanged' : 'changed'
   }
 
-  /** Goodbye of the process `target`; false when it is not the current one. */
-  leave (target: Decisions.Ids.TargetId): boolean {
-    if (this.current?.target !== target) return false
-    this.current = { ...this.current, state: 'gone' }
-    return true
+  /** Goodbye of the process `target`; false when it is not the current one. Later news of the same process is outdated. */
+  leave (target: Decisions.Ids.TargetId, incarnation?: Decisions.Ids.Incarnation): boolean {
+    const isCurrent = this.current?.target === target && (incarnation === undefined || this.current.incarnation === incarnation)
+    this.departed.set(target, incarnation ?? (isCurrent ? this.current?.incarnation : undefined))
+    if (isCurrent && this.current !== undefined) this.current = { ...this.current, state: 'gone' }
+    return isCurrent
+  }
+
+  /** Whether the process has said goodbye. Without its incarnation, any process of that id counts as the departed one. */
+  hasDeparted (target: Decisions.Ids.TargetId, incarnation: Decisions.Ids.Incarnation): boolean {
+    if (!this.departed.has(target)) return false
+    const departed = this.departed.get(target)
+    return departed === undefined || incarnation <= departed
   }
 
   /** Another process answers at the target's address: nothing is known until the next announcement. */
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -14,8 +14,8 @@
   readonly log: Logs.Log
   readonly directory: Directories.Directory
   readonly localTarget: LocalTargets.LocalTarget
-  readonly host: Hosts.Host
-  readonly registrar: Registrars.Registrar
+  readonly host: Pick<Hosts.Host, 'targetReplaced'>
+  readonly registrar: Pick<Registrars.Registrar, 'publish'>
   readonly views: HostViews.HostViews
 }
 
@@ -54,20 +54,32 @@
     const newest = directory.atHost(settings.place.host)
     if (newest?.state !== 'ready' || newest.service !== settings.service) return
     const { target, service, slots, state, incarnation, sequence } = newest
+    if (localTarget.hasDeparted(target, incarnation)) {
+      log.info('registration of this host is outdated: its target has said goodbye', { target, incarnation })
+      void this.register({ ...newest, state: 'gone' })
+      return
+    }
     localTarget.hear({ target, service, slots, state, incarnation, sequence })
     host.targetReplaced(slots)
     log.info('local target adopted from its registration', { target, incarnation, sequence })
   }
 
-  /** Goodbye of a backend server. Nothing is sent to it from now on. */
-  async left (target: Decisions.Ids.TargetId): Promise<void> {
-    const { localTarget, log } = this.parts
-    if (!localTarget.leave(target)) {
-      log.info('goodbye of a target that is not the current one', { target, current: localTarget.announced?.target })
-      return
+  /**
+   * Goodbye of a backend server. Nothing is sent to it from now on. Returns whether the shared log holds this: a node
+   * that has just started and has not read the directory yet cannot say so.
+   */
+  async left (target: Decisions.Ids.TargetId, incarnation?: Decisions.Ids.Incarnation): Promise<boolean> {
+    const { localTarget, log, directory } = this.parts
+    if (localTarget.leave(target, incarnation)) {
+      log.info('local target said goodbye', { target })
+      if (localTarget.announced !== undefined) await this.register(localTarget.announced)
+      return true
     }
-    log.info('local target said goodbye', { target })
-    if (localTarget.announced !== undefined) await this.register(localTarget.announced)
+    const known = directory.get(target)
+    log.info('goodbye of a target that is not the current one', { target, current: localTarget.announced?.target, registered: known?.state })
+    if (known === undefined) return false
+    if (known.state !== 'gone') await this.register({ ...known, state: 'gone' })
+    return true
   }
 
   private async register (announcement: LocalTargets.Announcement): Promise<void> {
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -100,7 +100,10 @@
       return true
     })
     request.on('socket', socket => {
-      socket.once('error', () => { this.broken = true })
+      const noteError = (): void => { this.broken = true }
+      socket.once('error', noteError)
+      // The connection outlives the request when it is used again.
+      request.once('close', () => { socket.off('error', noteError) })
       if (!socket.connecting) {
         this.opened()
         return
