--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -17,7 +17,8 @@
 /** The target's response had no length: only the end of its connection marked the end of the body. */
 const UNFRAMED = 'jasminedale-unframed'
 
-export const BETWEEN_NODES: ReadonlySet<string> = new Set([TERMS, REPORT, REFUSED, FAILED, UNFRAMED])
+/** Fields of the protocol between nodes, and the length, which each sender sets anew. */
+export const BETWEEN_NODES: ReadonlySet<string> = new Set([TERMS, REPORT, REFUSED, FAILED, UNFRAMED, 'content-length'])
 
 const FIELDS = 9
 const STATUS_REFUSED = 503
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -58,7 +58,7 @@
       origin: terms.origin,
       method: request.method ?? 'GET',
       path: request.url ?? '',
-      headers: withoutTerms(request.rawHeaders),
+      headers: request.rawHeaders,
       repeatable: terms.repeatable,
       priority: terms.priority,
       deadline: Decisions.Clock.add(clock.now(), terms.remaining),
@@ -73,12 +73,3 @@
     }
   }
 }
-
-function withoutTerms (headers: readonly string[]): string[] {
-  const kept: string[] = []
-  for (let index = 0; index < headers.length; index += 2) {
-    const name = headers[index] ?? ''
-    if (!Forwarding.BETWEEN_NODES.has(name.toLowerCase())) kept.push(name, headers[index + 1] ?? '')
-  }
-  return kept
-}
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -6,6 +6,7 @@
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
 import * as Headers from '../transport/headers.js'
+import * as Forwarding from './forwarding.js'
 import * as Gates from './gate.js'
 import type * as HostReports from './host-report.js'
 import type * as LocalTargets from './local-target.js'
@@ -39,6 +40,8 @@
 
 export class Host {
   private readonly parts: HostParts
+  /** Fields that do not reach the target as they came. */
+  private readonly removed: ReadonlySet<string>
   private readonly gate = new Gates.Gate()
   private readonly slots = new Slots.Slots()
   private readonly serviceTime = new ServiceTimes.ServiceTime()
@@ -48,6 +51,7 @@
 
   constructor (parts: HostParts) {
     this.parts = parts
+    this.removed = new Set([...parts.dialect.reserved, ...Forwarding.BETWEEN_NODES])
   }
 
   /** The local target was replaced or restarted: nothing that was learned applies to it. */
@@ -176,7 +180,7 @@
       address: targetAddress,
       method: work.method,
       path: work.path,
-      headers: [...Headers.passedOn(work.headers, dialect.reserved), ...fields],
+      headers: [...Headers.passedOn(work.headers, this.removed), ...fields],
       body,
       timeout: remaining,
       connectTimeout: CONNECT_TIMEOUT,
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -83,6 +83,11 @@
     return !this.stopping && this.parts.configuration.table !== undefined && this.parts.synchronizer.knowsTargets
   }
 
+  /** Number of ready targets that this node knows. */
+  get targets (): number {
+    return this.parts.directory.readyCount
+  }
+
   get membership (): Membership.Membership {
     return this.parts.membership
   }
--- a/packages/proxy/src/transport/headers.ts
+++ b/packages/proxy/src/transport/headers.ts
@@ -1,9 +1,9 @@
 /** Header lists as flat arrays of names and values, in the order and case received. */
 
-/** Fields that concern one connection only (RFC 9110, section 7.6.1), and the length, which is set anew. */
+/** Fields that concern one connection only (RFC 9110, section 7.6.1), and Expect, which a node answers itself. */
 const NOT_PASSED_ON: ReadonlySet<string> = new Set([
   'connection', 'keep-alive', 'proxy-connection', 'te', 'trailer', 'transfer-encoding', 'upgrade', 'expect',
-  'proxy-authenticate', 'proxy-authorization', 'content-length'
+  'proxy-authenticate', 'proxy-authorization'
 ])
 
 /** The fields that a proxy passes on, without those in `removed` (lower case). */
@@ -13,7 +13,7 @@
   for (let index = 0; index < headers.length; index += 2) {
     const name = headers[index] ?? ''
     const lower = name.toLowerCase()
-    if (NOT_PASSED_ON.has(lower) || removed.has(lower) || named.has(lower)) continue
+    if (NOT_PASSED_ON.has(lower) || removed.has(lower) || (named.has(lower) && lower !== 'content-length')) continue
     kept.push(name, headers[index + 1] ?? '')
   }
   return kept
