fix(proxy): log incomplete requests of callers and peers

Cause: a caller that leaves while it sends, and a peer's question that ends early, left no line.

Ruled out: nothing; both branches were read, not measured.

Figures: none; no path of a complete request changes.

Conclusion: each end of a request has a line.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -93,6 +93,7 @@
     const body = await Bodies.read(request, limit)
     if (body.isErr()) {
       if (body.error.kind === 'too-large') this.reject(inbound, { status: STATUS_TOO_LARGE, reason: 'body-too-large' })
+      else this.parts.log.info('caller left before its request was complete', { request: inbound.id, route: route.name })
       return
     }
     const service = RouteTables.destinationOf(route, this.parts.random)
--- a/packages/proxy/src/host/gate.ts
+++ b/packages/proxy/src/host/gate.ts
@@ -10,7 +10,7 @@
 const HOLD = Decisions.Clock.milliseconds(300)
 /** Factor by which the pause grows with each failed trial. */
 const HOLD_GROWTH = 1.5
-/** Longest pause: `minimum_share` counts a target as sound 2 s after its last failure. */
+/** Longest pause: operators count a target as sound 2 s after its last failure. */
 const HOLD_MAXIMUM = Decisions.Clock.milliseconds(900)
 /** Failures within this time belong to one fault; faults of the platform's targets last several seconds. */
 const FAULT_SPAN = Decisions.Clock.seconds(5)
--- a/packages/proxy/src/state/peer-state.ts
+++ b/packages/proxy/src/state/peer-state.ts
@@ -50,6 +50,7 @@
   /** Answers another node. */
   async serve (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
     const body = await Bodies.read(request, REQUEST_LIMIT)
+    if (body.isErr()) this.parts.log.info('question of a peer cannot be read', { failure: body.error.kind })
     const answer = body.isOk() ? await this.server.receiveJSON(body.value.toString()) : null
     response.writeHead(STATUS_OK, { 'content-type': 'application/json' }).end(JSON.stringify(answer))
   }
