fix(proxy): take no new connections in the end of a planned stop

Ruled out: a target or host that broke off; its run was cut by the stop.

Change: the callers' listener closes 3.3 s after the request to stop; requests taken before have their deadline within the limit.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -98,7 +98,7 @@
 
   /** Finishes the requests in flight and ends. Returns the number that was cut off. */
   async stop (): Promise<number> {
-    const { clock, gateway, host, hostServer, log, settings } = this.parts
+    const { clock, gateway, host, hostServer, log, servers, settings } = this.parts
     this.stopping = true
     const startedAt = clock.now()
     log.info('planned stop begins', { inFlight: gateway.inFlight, hosted: hostServer.inFlight })
@@ -108,7 +108,10 @@
     // Until the callers have left, the target's capacity is still of use to other nodes.
     await pause(HOST_LEAVES)
     host.leave()
-    while (clock.now() < limit && (clock.now() < startedAt + CALLERS_LEAVE || inFlight() > 0)) await pause(STOP_CHECK_MS)
+    await pause(CALLERS_LEAVE - HOST_LEAVES)
+    // A caller that does not leave would have its request cut at the limit.
+    servers.stopAccepting()
+    while (clock.now() < limit && inFlight() > 0) await pause(STOP_CHECK_MS)
     const cut = inFlight()
     this.close()
     log.info('node stopped', { after: Math.round(clock.now() - startedAt), cut })
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -47,6 +47,11 @@
     this.timer = setInterval(() => { this.applyLimits() }, LIMITS_INTERVAL_MS)
   }
 
+  /** Takes no new connections of callers; requests on open ones are still answered. */
+  stopAccepting (): void {
+    this.callers.close()
+  }
+
   close (): void {
     clearInterval(this.timer)
     this.callers.close()
