feat(proxy): let hosts compete to confirm a request, keep last attempts off trials

Ruled out: the shared budget (60 of 234 repeats a window were used), the targets' own error rate (1.2 %).

Change: every forwarded request is reserved before it is sent. A host that is silent for 60 ms gets a competitor, and only the first to confirm gets the request. The terms say whether another attempt is left; only then may a request be the trial of a failing target. Refusals are bounded by time. Attempts and budget count confirmations instead of sends.

--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -9,7 +9,7 @@
 import type * as Placements from './placement.js'
 import type * as Requests from './request.js'
 import type * as RetryBudgets from './retry-budget.js'
-import type * as Senders from './sender.js'
+import * as Senders from './sender.js'
 
 export interface DispatchParts {
   readonly clock: Decisions.Clock.Clock
@@ -33,16 +33,18 @@
 const REACHED_TARGET: ReadonlySet<Works.RefusalReason> = new Set<Works.RefusalReason>(['target-shed', 'target-changed'])
 /** Share of the latency objective after which a silent repeatable request is tried elsewhere too: time for a second run is left. */
 const HEDGE_SHARE = 0.5
+/** Hosts that are asked at the same time; only the first to confirm gets the request. */
+const COMPETITORS_MAXIMUM = 3
 /** Attempts that may be refused before a host may queue the request. */
 const REFUSALS_BEFORE_QUEUE = 2
 /** Closed targets after which one is tried all the same: a third of a service may fail at a time, so six in a row are rare. */
 const REFUSALS_BEFORE_INSISTING = 6
-/** Refusals after which the request is given up. */
-const REFUSALS_MAXIMUM = 8
+/** Refusals after which the request is given up: about as many as a service of the users has targets. */
+const REFUSALS_MAXIMUM = 24
 /** Hosts that may say that the request cannot finish in time there; their queues are alike under a lasting overload. */
 const LATE_REFUSALS_MAXIMUM = 2
-/** Share of the latency objective for which a request waits for a target to take work again. */
-const WAIT_SHARE = 0.25
+/** Share of the latency objective after which a request that no target takes is refused: an answer would be late. */
+const WAIT_SHARE = 0.75
 /** Pause between looks for a target while none takes work. */
 const WAIT_STEP_MAXIMUM = 50
 /** Time after the deadline within which attempts report what became of them. */
@@ -60,19 +62,22 @@
   private readonly ranOn = new Set<Decisions.Ids.TargetId>()
   private readonly timers = new Set<NodeJS.Timeout>()
   private over = false
+  private expired = false
+  /** Attempts whose host has confirmed the request: these run or may run. */
+  private readonly confirmed = new Set<Senders.Sending>()
   /** Targets on which the request ran or may run. */
   private runs = 0
+  /** Targets that the request reached, those that turned it away included. */
+  private arrivals = 0
   private refusals = 0
   private lateRefusals = 0
   private closedRefusals = 0
   /** All targets were closed, and one was asked to run the request all the same. */
   private insisted = false
-  private shed = false
-  /** The budget has allowed a repeat that has not reached a target yet. */
+  /** The budget has allowed an arrival beyond the first that has not happened yet. */
   private paid = false
   private lastError: Answers.Answer | undefined
   private lastRefusal: Answers.Answer | undefined
-  private waitedSince: Decisions.Clock.Milliseconds | undefined
 
   constructor (private readonly request: Requests.EntryRequest, private readonly parts: DispatchParts) {
     this.answer = new Promise(resolve => { this.resolve = resolve })
@@ -91,19 +96,17 @@
     const { request, parts } = this
     const now = parts.clock.now()
     const candidates = parts.directory.ready(request.service)
-    const wish = { careful: !request.route.repeatable || this.runs > 0, insists: false, excluded: this.excluded }
+    const wish = { careful: !this.mayTry(now), insists: false, excluded: this.excluded }
     const chosen = parts.placer.choose(candidates, wish, now) ?? this.lastResort(candidates, now)
     if (chosen === undefined) {
       this.lackTarget(candidates, now)
       return
     }
-    const repeats = this.runs > 0 || this.shed
-    if (repeats && !this.paid && !parts.budget.take(request.service, parts.directory.readyCount, now)) {
+    if (this.arrivals > 0 && !this.paid && !parts.budget.take(request.service, parts.directory.readyCount, now)) {
       this.giveUp({ kind: 'not-run', reason: 'target-shed', retryAfter: RETRY_AFTER_DEFAULT })
       return
     }
-    // A repeat that a host refuses never reaches a target, so the next one needs no further allowance.
-    this.paid = repeats
+    this.paid = this.arrivals > 0
     this.start(chosen, now)
   }
 
@@ -119,28 +122,68 @@
     const view = parts.views.of(registration.target)
     const full = HostViews.busyness(view, now) >= registration.slots
     const sending = parts.sender.send(request, registration, {
+      confirm: () => this.confirm(sending),
+      mayTry: this.mayTry(now),
       mayWait: full || this.refusals >= REFUSALS_BEFORE_QUEUE, insists: this.insisted || this.closedRefusals >= REFUSALS_BEFORE_INSISTING
     })
     const step: Step = { target: registration.target, startedAt: now, result: 'open' }
     this.steps.push(step)
     this.active.set(sending, step)
     this.excluded.add(registration.target)
-    this.runs += 1
-    if (this.mayRepeat()) this.watch(sending)
+    this.after(Senders.SILENT_HOST, () => { this.compete(sending) })
     void sending.outcome.then(outcome => { this.ended(sending, outcome) })
   }
 
+  /** Whether one more run is allowed. */
+  private mayRun (): boolean {
+    return this.runs === 0 || this.mayRepeat()
+  }
+
   private mayRepeat (): boolean {
     return this.request.route.repeatable && this.runs < this.request.route.attempts
   }
 
-  /** Tries another target when the attempt stays silent; the first of two answers is used. */
+  /** Whether a failure of the next run would not be final. */
+  private mayTry (now: Decisions.Clock.Milliseconds): boolean {
+    const { request, parts } = this
+    return request.route.repeatable && this.runs + 1 < request.route.attempts && parts.budget.allows(request.service, parts.directory.readyCount, now)
+  }
+
+  /** The host of this attempt holds a slot. Only the first of several hosts gets the request. */
+  private confirm (sending: Senders.Sending): boolean {
+    if (this.over || this.expired || !this.active.has(sending) || !this.mayRun()) return false
+    if (this.arrivals > 0 && !this.paid) return false
+    this.paid = false
+    this.runs += 1
+    this.arrivals += 1
+    this.confirmed.add(sending)
+    for (const other of this.unconfirmed()) this.withdraw(other)
+    if (this.mayRepeat()) this.watch(sending)
+    return true
+  }
+
+  private unconfirmed (): Senders.Sending[] {
+    return [...this.active.keys()].filter(sending => !this.confirmed.has(sending))
+  }
+
+  /** Takes an attempt back that has certainly not run. */
+  private withdraw (sending: Senders.Sending): void {
+    const step = this.active.get(sending)
+    if (step !== undefined) step.result = this.nameOf({ kind: 'withdrawn' }, step)
+    this.active.delete(sending)
+    sending.withdraw()
+  }
+
+  /** Asks another host when one stays silent. */
+  private compete (sending: Senders.Sending): void {
+    if (this.over || this.expired || !this.active.has(sending) || this.confirmed.has(sending) || sending.isQueued()) return
+    if (this.unconfirmed().length < COMPETITORS_MAXIMUM) this.next()
+  }
+
+  /** Tries another target when the running one stays silent; the first of two answers is used. */
   private watch (sending: Senders.Sending): void {
     this.after(HEDGE_SHARE * this.request.route.latencyObjective, () => {
-      if (this.over || !this.active.has(sending) || !this.mayRepeat()) return
-      // A request in a queue is not silent, and a second one would lengthen the queues.
-      if (sending.isQueued()) this.watch(sending)
-      else this.next()
+      if (!this.over && !this.expired && this.active.has(sending) && this.mayRepeat()) this.next()
     })
   }
 
@@ -149,12 +192,11 @@
     this.active.delete(sending)
     if (step === undefined || this.over) return
     step.result = this.nameOf(outcome, step)
-    if (outcome.kind !== 'refused' || REACHED_TARGET.has(outcome.reason)) this.paid = false
     this.parts.metrics.attempted(this.request.service, outcome.kind === 'answered' ? String(outcome.response.status) : step.result)
     if (outcome.kind !== 'refused') this.ranOn.add(sending.target)
     switch (outcome.kind) {
       case 'answered': this.answered({ kind: 'response', response: outcome.response }, outcome.response.status); break
-      case 'refused': this.refused(outcome.reason, outcome.retryAfter); break
+      case 'refused': this.refused(sending, outcome.reason, outcome.retryAfter); break
       case 'failed': this.failed({ kind: 'unknown', reason: outcome.reason }); break
       case 'withdrawn': this.failed({ kind: 'unknown', reason: 'timed-out' }); break
     }
@@ -174,27 +216,33 @@
   private failed (answer: Answers.Answer): void {
     // A server's own error says more than a lost connection.
     if (this.lastError?.kind !== 'response') this.lastError = answer
-    if (this.mayRepeat()) this.next()
+    if (this.mayRepeat() && !this.expired) this.next()
     else this.giveUp(answer)
   }
 
-  private refused (reason: Works.RefusalReason, retryAfter: number): void {
-    this.runs -= 1
+  private refused (sending: Senders.Sending, reason: Works.RefusalReason, retryAfter: number): void {
+    if (this.confirmed.delete(sending)) this.unrun(reason)
     this.refusals += 1
-    if (REACHED_TARGET.has(reason)) this.shed = true
     this.lastRefusal = { kind: 'not-run', reason, retryAfter }
     if (reason === 'target-closed') this.closedRefusals += 1
     if (reason === 'too-late') this.lateRefusals += 1
-    if (this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM) this.giveUp(this.lastRefusal)
-    else if (this.runs === 0 || this.mayRepeat()) this.next()
-    else this.giveUp(this.lastRefusal)
+    const futile = this.expired || this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM
+    if (futile || !this.mayRun()) this.giveUp(this.lastRefusal)
+    else if (this.unconfirmed().length === 0) this.next()
+  }
+
+  /** A confirmed request did not run after all. */
+  private unrun (reason: Works.RefusalReason): void {
+    this.runs -= 1
+    if (REACHED_TARGET.has(reason)) return
+    this.arrivals -= 1
+    this.paid = this.arrivals > 0
   }
 
   /** No target takes the request now. Waits shortly, since pauses after a failure are short, then refuses. */
   private lackTarget (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): void {
     const opening = this.parts.placer.nextOpening(candidates, now) ?? RETRY_AFTER_DEFAULT
-    this.waitedSince ??= now
-    const limit = this.waitedSince + WAIT_SHARE * this.request.route.latencyObjective
+    const limit = this.request.arrivedAt + WAIT_SHARE * this.request.route.latencyObjective
     if (this.active.size > 0) return
     if (now >= limit) {
       this.giveUp(this.lastRefusal ?? { kind: 'not-run', reason: 'no-target', retryAfter: Math.max(opening, RETRY_AFTER_DEFAULT) })
@@ -214,6 +262,7 @@
 
   private expire (): void {
     if (this.over) return
+    this.expired = true
     if (this.active.size === 0) {
       this.finish(this.lastError ?? { kind: 'not-run', reason: 'too-late', retryAfter: RETRY_AFTER_DEFAULT })
       return
--- a/packages/proxy/src/entry/retry-budget.ts
+++ b/packages/proxy/src/entry/retry-budget.ts
@@ -38,12 +38,17 @@
     this.of(service).requests.add(now)
   }
 
-  /** Takes one repeat; false when this node's part is spent. `nodes` is the number of nodes that share the slack. */
-  take (service: Decisions.Ids.Service, nodes: number, now: Decisions.Clock.Milliseconds): boolean {
+  /** Whether this node's part holds one more repeat. `nodes` is the number of nodes that share the slack. */
+  allows (service: Decisions.Ids.Service, nodes: number, now: Decisions.Clock.Milliseconds): boolean {
     const budget = this.of(service)
     const allowance = USABLE_SHARE * (this.terms.ratio * budget.requests.total(now) + this.terms.slack / Math.max(1, nodes))
-    if (budget.repeats.total(now) + 1 > Math.max(1, allowance)) return false
-    budget.repeats.add(now)
+    return budget.repeats.total(now) + 1 <= Math.max(1, allowance)
+  }
+
+  /** Takes one repeat; false when this node's part is spent. */
+  take (service: Decisions.Ids.Service, nodes: number, now: Decisions.Clock.Milliseconds): boolean {
+    if (!this.allows(service, nodes, now)) return false
+    this.of(service).repeats.add(now)
     return true
   }
 
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -12,6 +12,11 @@
 
 /** Time for a connection to another node; round trips take up to 16 ms, and a slowed VM several times that. */
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(250)
+/**
+ * Time after which a host that has neither confirmed a request nor queued it is given a competitor: round trips take
+ * up to 16 ms, and a VM whose processor share is used up stands still for up to 50 ms.
+ */
+export const SILENT_HOST = Decisions.Clock.milliseconds(60)
 /** Time for a host to confirm a request or to say that it waits in its queue. */
 const CONFIRM_TIMEOUT = Decisions.Clock.milliseconds(300)
 /** A response that has begun to arrive by the deadline may take this much longer between nodes. */
@@ -42,6 +47,10 @@
 
 /** What an attempt asks of the host. */
 export interface SendTerms {
+  /** Called once the host holds a slot; the request is sent if it returns true, and certainly does not run otherwise. */
+  readonly confirm: () => boolean
+  /** Another target is left if this one fails, so that the request may be the trial of a target that has failed. */
+  readonly mayTry: boolean
   /** The request may queue there. */
   readonly mayWait: boolean
   /** The target is to be tried although it has just failed. */
@@ -61,7 +70,7 @@
     return sending
   }
 
-  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, { mayWait, insists }: SendTerms): Sending {
+  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayTry, mayWait, insists }: SendTerms): Sending {
     const listeners: (() => void)[] = []
     const state = { queued: false }
     const { target } = registration
@@ -74,6 +83,7 @@
       path: request.path,
       headers: request.headers,
       repeatable: request.route.repeatable,
+      mayTry,
       priority: request.route.priority,
       deadline: request.deadline,
       latencyObjective: request.route.latencyObjective,
@@ -83,7 +93,7 @@
       queued: () => { state.queued = true },
       commit: () => {
         state.queued = false
-        return Promise.resolve(request.body)
+        return Promise.resolve(confirm() ? request.body : undefined)
       },
       onWithdrawn: listener => { listeners.push(listener) }
     }).then(ended => {
@@ -94,14 +104,14 @@
     return { target, outcome, isQueued: () => state.queued, withdraw: () => { for (const listener of listeners) listener() } }
   }
 
-  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { mayWait, insists }: SendTerms): Sending {
-    const { clock, connections, origin } = this.parts
+  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayTry, mayWait, insists }: SendTerms): Sending {
+    const { clock, connections, origin, views } = this.parts
     const { target } = registration
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const fields = Forwarding.formatTerms({
       target, remaining, latencyObjective: request.route.latencyObjective,
       useful: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.route.priority,
-      repeatable: request.route.repeatable, mayWait, insists, origin
+      repeatable: request.route.repeatable, mayTry, mayWait, insists, origin
     })
     const exchange = new Exchanges.Exchange({
       address: registration.host,
@@ -113,9 +123,11 @@
       connectTimeout: Decisions.Clock.milliseconds(Math.min(CONNECT_TIMEOUT, remaining)),
       responseLimit: RESPONSE_LIMIT,
       connections,
-      confirmed: !request.route.repeatable,
+      confirmed: true,
+      mayCommit: confirm,
       confirmTimeout: Decisions.Clock.milliseconds(Math.min(CONFIRM_TIMEOUT, remaining))
     })
+    const startedAt = clock.now()
     let withdrawn = false
     const outcome = exchange.end.then(end => withdrawn ? withdrawal(end) : this.read(registration, end))
     return {
@@ -124,6 +136,8 @@
       isQueued: () => exchange.isQueued,
       withdraw: () => {
         withdrawn = true
+        // Another host was faster than this one; the next request does not wait for it again.
+        if (exchange.isSilent && clock.now() - startedAt >= SILENT_HOST) views.unreachable(target, clock.now())
         exchange.cancel('requester withdrew')
       }
     }
--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -5,7 +5,7 @@
 import * as HostReports from './host-report.js'
 import * as Works from './work.js'
 
-/** Terms of the forwarded request: target, milliseconds left, objective, milliseconds in which an answer is fully useful, priority, repeatable, may wait, insists, origin. */
+/** Terms of the forwarded request: target, milliseconds left, objective, milliseconds in which an answer is fully useful, priority, repeatable, may try, may wait, insists, origin. */
 const TERMS = 'jasminedale-work'
 /** State of the host. */
 const REPORT = 'jasminedale-host'
@@ -20,7 +20,7 @@
 /** Fields of the protocol between nodes, and the length, which each sender sets anew. */
 export const BETWEEN_NODES: ReadonlySet<string> = new Set([TERMS, REPORT, REFUSED, FAILED, UNFRAMED, 'content-length'])
 
-const FIELDS = 9
+const FIELDS = 10
 const STATUS_REFUSED = 503
 const STATUS_FAILED = 502
 
@@ -33,6 +33,7 @@
   readonly useful: Decisions.Clock.Milliseconds
   readonly priority: number
   readonly repeatable: boolean
+  readonly mayTry: boolean
   readonly mayWait: boolean
   readonly insists: boolean
   readonly origin: Decisions.Ids.Service
@@ -41,7 +42,7 @@
 export function formatTerms (terms: Terms): string[] {
   const fields = [
     terms.target, Math.round(terms.remaining), Math.round(terms.latencyObjective), Math.round(terms.useful), terms.priority,
-    Number(terms.repeatable), Number(terms.mayWait), Number(terms.insists), terms.origin
+    Number(terms.repeatable), Number(terms.mayTry), Number(terms.mayWait), Number(terms.insists), terms.origin
   ]
   return [TERMS, fields.join(' ')]
 }
@@ -49,7 +50,7 @@
 /** Undefined when the request is not a forwarded one or its terms cannot be read. */
 export function parseTerms (headers: readonly string[]): Terms | undefined {
   const fields = Headers.first(headers, TERMS)?.split(' ') ?? []
-  const [target, remaining, objective, useful, priority, repeatable, mayWait, insists, origin] = fields
+  const [target, remaining, objective, useful, priority, repeatable, mayTry, mayWait, insists, origin] = fields
   if (fields.length !== FIELDS || target === undefined || origin === undefined) return undefined
   const numbers = [remaining, objective, useful, priority].map(Number)
   if (!numbers.every(Number.isFinite)) return undefined
@@ -60,6 +61,7 @@
     useful: Decisions.Clock.milliseconds(Number(useful)),
     priority: Number(priority),
     repeatable: repeatable === '1',
+    mayTry: mayTry === '1',
     mayWait: mayWait === '1',
     insists: insists === '1',
     origin: Decisions.Ids.service(origin)
--- a/packages/proxy/src/host/gate.ts
+++ b/packages/proxy/src/host/gate.ts
@@ -1,6 +1,6 @@
 /**
  * Holds work back from a target that has just failed. A single failure raises the odds of an ongoing
- * fault by one to two orders of magnitude, so non-idempotent work waits until repeatable work has succeeded.
+ * fault by one to two orders of magnitude, so work for which a failure is final waits until other work has succeeded.
  */
 import * as Decisions from '@jasminedale/decisions'
 
@@ -18,7 +18,7 @@
 const TRIALS_ISOLATED = 1
 /** Successful trials after repeated failures: with nine of ten failing, two successes leave odds of 1 to 100. */
 const TRIALS_REPEATED = 2
-/** Time without repeatable work after which a non-idempotent request is the trial. */
+/** Time without work that may be the trial after which any request is. */
 const PATIENCE = Decisions.Clock.seconds(4)
 
 export class Gate {
@@ -37,7 +37,7 @@
    * Decides about one request. A passage of `trial` must be reported back by `succeeded`, `failed` or `abandoned`.
    * A request that `insists` found no other target; trying it here is better than not serving it.
    */
-  admit (repeatable: boolean, insists: boolean, now: Decisions.Clock.Milliseconds): Passage {
+  admit (mayTry: boolean, insists: boolean, now: Decisions.Clock.Milliseconds): Passage {
     if (this.closedUntil === undefined) return 'pass'
     if (insists) {
       if (this.trialRunning) return 'pass'
@@ -45,7 +45,7 @@
       return 'trial'
     }
     if (now < this.closedUntil || this.trialRunning) return 'closed'
-    if (!repeatable && now < this.closedUntil + PATIENCE) return 'closed'
+    if (!mayTry && now < this.closedUntil + PATIENCE) return 'closed'
     this.trialRunning = true
     return 'trial'
   }
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -27,7 +27,7 @@
     return this.open
   }
 
-  /** Handles a request. The sender of one that must not run twice waits for 100 Continue before it sends the rest. */
+  /** Handles a request. The sender waits for 100 Continue before it sends the rest. */
   async handle (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
     const terms = Forwarding.parseTerms(request.rawHeaders)
     response.sendDate = false
@@ -39,7 +39,7 @@
     response.once('close', () => { this.open -= 1 })
     const { host } = this.parts
     const outcome = host.run(this.workOf(request, response, terms, async () => {
-      if (!terms.repeatable) response.writeContinue()
+      response.writeContinue()
       const body = await Bodies.read(request, BODY_LIMIT)
       return body.isOk() ? body.value : undefined
     }))
@@ -60,6 +60,7 @@
       path: request.url ?? '',
       headers: request.rawHeaders,
       repeatable: terms.repeatable,
+      mayTry: terms.mayTry,
       priority: terms.priority,
       deadline: Decisions.Clock.add(clock.now(), terms.remaining),
       latencyObjective: terms.latencyObjective,
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -107,7 +107,7 @@
     const refusal = this.unavailable(work)
     if (refusal !== undefined) return refusal
     const now = this.parts.clock.now()
-    const passage = this.gate.admit(work.repeatable, work.insists, now)
+    const passage = this.gate.admit(work.mayTry, work.insists, now)
     if (passage === 'closed') return Works.refused('target-closed', this.gate.closedFor(now) ?? BUSY_RETRY)
     return passage
   }
@@ -169,7 +169,7 @@
 
   private closed (work: Works.Work): Works.Outcome | undefined {
     const closedFor = this.gate.closedFor(this.parts.clock.now())
-    return closedFor === undefined || work.repeatable || work.insists ? undefined : Works.refused('target-closed', closedFor)
+    return closedFor === undefined || work.mayTry || work.insists ? undefined : Works.refused('target-closed', closedFor)
   }
 
   private send (work: Works.Work, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
--- a/packages/proxy/src/host/work.ts
+++ b/packages/proxy/src/host/work.ts
@@ -11,6 +11,8 @@
   readonly path: string
   readonly headers: readonly string[]
   readonly repeatable: boolean
+  /** The request may be the trial of a target that has failed: another target is left for it. */
+  readonly mayTry: boolean
   readonly priority: number
   readonly deadline: Decisions.Clock.Milliseconds
   readonly latencyObjective: Decisions.Clock.Milliseconds
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -37,6 +37,8 @@
    * is not sent: with it the peer's HTTP library ends the connection after each refusal.
    */
   readonly confirmed: boolean
+  /** Asked when the peer confirms; false withdraws the request. */
+  readonly mayCommit?: () => boolean
   /** Time within which the peer must confirm. */
   readonly confirmTimeout: Decisions.Clock.Milliseconds
 }
@@ -79,6 +81,11 @@
     return this.queued
   }
 
+  /** Whether the peer has neither confirmed the request nor queued it nor answered. */
+  get isSilent (): boolean {
+    return !this.committed && !this.queued && !this.responding
+  }
+
   /** Withdraws the request. The connection is closed, which tells the peer; `end` tells whether it may have run. */
   cancel (reason: string): void {
     this.fail(reason)
@@ -135,6 +142,10 @@
 
   private commit (): void {
     if (this.over) return
+    if (this.plan.mayCommit?.() === false) {
+      this.fail('the request is not needed any more')
+      return
+    }
     this.committed = true
     this.queued = false
     this.request.end(this.plan.body)
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -20,18 +20,21 @@
   return { kind: 'answered', response: { status, headers: [], body: Buffer.alloc(0), framed: true } }
 }
 
-function dispatch (sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000): Dispatches.Dispatch {
+function dispatch (
+  sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000,
+  budget = new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack }), deadline = Decisions.Clock.seconds(2)
+): Dispatches.Dispatch {
   const directory = new Directories.Directory()
   for (const name of names) directory.merge(Samples.registration(name))
   const views = new HostViews.HostViews()
   const place: Placements.Place = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
   const request: Requests.EntryRequest = {
     id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
-    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline: Decisions.Clock.seconds(2)
+    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline
   }
   return new Dispatches.Dispatch(request, {
     clock: CLOCK, directory, views, placer: new Placements.Placer(place, views, new Decisions.Random.Random(5)),
-    budget: new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack }), sender, metrics: new Metrics.Metrics()
+    budget, sender, metrics: new Metrics.Metrics()
   })
 }
 
@@ -107,3 +110,47 @@
   assert.equal(answer.kind, 'response')
   assert.deepEqual(sender.sent.map(({ terms }) => terms.insists), [false, false, false, false, true])
 })
+
+// Found on Ceara quiet-1: 22 requests were refused after eight refusals within 22 ms, with most of their time left.
+test('request is not given up for a number of early refusals', async () => {
+  const names = ['a', 'bb', 'ccc', 'dddd', 'eeeee', 'ffffff', 'ggggggg', 'hhhhhhhh', 'iiiiiiiii', 'jjjjjjjjjj']
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt < 10 ? Works.refused('target-busy', 50) : answered(200))
+  assert.equal((await dispatch(sender, { repeatable: false }, names).answer).kind, 'response')
+})
+
+// Found on Ceara quiet-1: each target cut off from the entry held a request up for 250 ms, five times in a row.
+test('silent host gets a competitor and only one of them the request', async () => {
+  const confirmations: (() => void)[] = []
+  const sender = new ScriptedSenders.ScriptedSender(() => undefined, (_target, _attempt, confirm) => { confirmations.push(confirm) })
+  const running = dispatch(sender, { repeatable: false })
+  while (confirmations.length < 2) await new Promise(resolve => setTimeout(resolve, 5))
+  for (const confirm of confirmations.toReversed()) confirm()
+  assert.deepEqual(sender.sent.slice(0, 2).map(({ confirmed }) => confirmed), [false, true])
+  assert.equal(sender.sent[0]?.withdrawn, true)
+  sender.sent[1]?.end(answered(200))
+  assert.equal((await running.answer).kind, 'response')
+})
+
+// Found on Ceara quiet-1: 48 of 505 repeatable requests failed, because both attempts were trials of failing targets.
+test('last attempt of a request is not a trial', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => answered(attempt === 1 ? 500 : 200))
+  await dispatch(sender, { attempts: 2 }).answer
+  assert.deepEqual(sender.sent.map(({ terms }) => terms.mayTry), [true, false])
+})
+
+// Guards against trials by requests for whose second attempt no budget is left.
+test('request without budget for a repeat is not a trial', async () => {
+  const budget = new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0, slack: 0 })
+  budget.take(Samples.SERVICE, 1, CLOCK.now())
+  const sender = new ScriptedSenders.ScriptedSender(() => answered(200))
+  await dispatch(sender, {}, NAMES, 0, budget).answer
+  assert.deepEqual(sender.sent.map(({ terms }) => terms.mayTry), [false])
+})
+
+// Found in the same logs: after its deadline a request was offered to four more hosts.
+test('nothing is sent after the deadline', async () => {
+  const sender = new ScriptedSenders.ScriptedSender(() => undefined, () => { /* Never confirms. */ })
+  const running = dispatch(sender, { repeatable: false }, NAMES, 0, undefined, Decisions.Clock.milliseconds(30))
+  assert.equal((await running.answer).kind, 'not-run')
+  assert.equal(sender.sent.length, 1)
+})
--- a/packages/proxy/tests/host/forwarding.test.ts
+++ b/packages/proxy/tests/host/forwarding.test.ts
@@ -11,7 +11,7 @@
 test('terms survive the way between nodes', () => {
   const terms: Forwarding.Terms = {
     target: Decisions.Ids.targetId('t1'), remaining: Decisions.Clock.milliseconds(900), latencyObjective: Decisions.Clock.milliseconds(300), useful: Decisions.Clock.milliseconds(250),
-    priority: 2, repeatable: false, mayWait: true, insists: false, origin: Decisions.Ids.service('accounts')
+    priority: 2, repeatable: false, mayTry: true, mayWait: true, insists: false, origin: Decisions.Ids.service('accounts')
   }
   assert.deepEqual(Forwarding.parseTerms(Forwarding.formatTerms(terms)), terms)
 })
--- a/packages/proxy/tests/host/host.test.ts
+++ b/packages/proxy/tests/host/host.test.ts
@@ -16,7 +16,7 @@
 
 function work (over: Partial<Works.Work> = {}): Works.Work {
   return {
-    request: Decisions.Ids.requestId('q'), target: TARGET, origin: Samples.SERVICE, method: 'GET', path: '/', headers: [], repeatable: false, priority: 1,
+    request: Decisions.Ids.requestId('q'), target: TARGET, origin: Samples.SERVICE, method: 'GET', path: '/', headers: [], repeatable: false, mayTry: false, priority: 1,
     deadline: Decisions.Clock.add(CLOCK.now(), Decisions.Clock.seconds(20)), latencyObjective: Decisions.Clock.seconds(20),
     usefulUntil: Decisions.Clock.add(CLOCK.now(), Decisions.Clock.milliseconds(300)), mayWait: false, insists: false,
     queued: () => { /* Not watched. */ }, commit: () => Promise.resolve(Buffer.alloc(0)), onWithdrawn: () => { /* Never withdrawn. */ }, ...over
