feat(proxy): tell the nodes of a data center when a target closes or opens

Repeats were denied with 60 of 234 of a window used.

Change: a host sends each change of its gate to the nodes of its data center (JSON-RPC notifications in datagrams, 32 recipients at most). Requests that must not fail pass over a target until its trial has succeeded, or 2 s after its pause. A request that insists takes the target with the fewest failures. A long request closes the gate only if the target answered nothing since. Other zones cost 1.4 slots and other regions 2.6, before 0.9 and 1.8. A node uses 0.85 of its part of the budget, before 0.6.

--- a/packages/proxy/src/directory/directory.ts
+++ b/packages/proxy/src/directory/directory.ts
@@ -11,6 +11,7 @@
   private readonly byService = new Map<Decisions.Ids.Service, Ready>()
   /** Lists of ready targets, made when asked for. */
   private readonly lists = new Map<Decisions.Ids.Service, readonly Registrations.Registration[]>()
+  private readonly byDataCenter = new Map<Decisions.Ids.DataCenter, Ready>()
   private readyTotal = 0
 
   /** Takes a registration over if it is newer than what is known; tells whether it was. */
@@ -54,6 +55,11 @@
     return list
   }
 
+  /** Ready targets of a data center, of all services. */
+  inDataCenter (dataCenter: Decisions.Ids.DataCenter): readonly Registrations.Registration[] {
+    return [...this.byDataCenter.get(dataCenter)?.values() ?? []]
+  }
+
   all (): readonly Registrations.Registration[] {
     return [...this.byTarget.values()]
   }
@@ -68,12 +74,16 @@
     const ready = this.byService.get(registration.service) ?? new Map<Decisions.Ids.TargetId, Registrations.Registration>()
     this.byService.set(registration.service, ready)
     ready.set(registration.target, registration)
+    const near = this.byDataCenter.get(registration.dataCenter) ?? new Map<Decisions.Ids.TargetId, Registrations.Registration>()
+    this.byDataCenter.set(registration.dataCenter, near)
+    near.set(registration.target, registration)
     this.readyTotal += 1
     this.lists.delete(registration.service)
   }
 
   private unlist (registration: Registrations.Registration): void {
     if (this.byService.get(registration.service)?.delete(registration.target) !== true) return
+    this.byDataCenter.get(registration.dataCenter)?.delete(registration.target)
     this.readyTotal -= 1
     this.lists.delete(registration.service)
   }
--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -112,7 +112,7 @@
 
   /** With every target closed, one of them is tried: its last failure may have been the usual rate of errors. */
   private lastResort (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
-    if (this.closedRefusals === 0 || this.insisted) return undefined
+    if (this.insisted || (this.closedRefusals === 0 && !this.parts.placer.anyClosed(candidates, now))) return undefined
     this.insisted = true
     return this.parts.placer.choose(candidates, { careful: false, insists: true, excluded: this.ranOn }, now)
   }
--- a/packages/proxy/src/entry/host-views.ts
+++ b/packages/proxy/src/entry/host-views.ts
@@ -4,6 +4,8 @@
 
 /** A reported load tells little after this time: the work it counted has ended. */
 const LOAD_MEMORY = Decisions.Clock.milliseconds(600)
+/** Time after the pause of a closed target for which it is taken to be closed: trials come about once a second. */
+const CLOSED_MEMORY = Decisions.Clock.seconds(2)
 /** Pause after a host could not be reached; doubles with each failure in a row. */
 const UNREACHABLE_PAUSE = Decisions.Clock.milliseconds(500)
 const UNREACHABLE_PAUSE_MAXIMUM = Decisions.Clock.seconds(8)
@@ -39,6 +41,13 @@
     view.avoidedUntil = Decisions.Clock.milliseconds(0)
   }
 
+  /** The host said this unasked. That does not show that this node can reach it. */
+  heard (target: Decisions.Ids.TargetId, report: HostReports.HostReport, now: Decisions.Clock.Milliseconds): void {
+    const view = this.of(target)
+    view.report = report
+    view.reportedAt = now
+  }
+
   /** The host refused because it is leaving or serves another target now. */
   avoid (target: Decisions.Ids.TargetId, duration: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): void {
     this.of(target).avoidedUntil = Decisions.Clock.add(now, duration)
@@ -71,6 +80,20 @@
   return closed === undefined ? undefined : Math.max(0, view.reportedAt + closed - now)
 }
 
+/**
+ * Whether the host is known to take only trials: after the pause it still refuses other work until a trial has
+ * succeeded. News of that may get lost, so the knowledge expires.
+ */
+export function takesOnlyTrials (view: HostView, now: Decisions.Clock.Milliseconds): boolean {
+  const closed = view.report?.closedFor
+  return closed !== undefined && now < view.reportedAt + closed + CLOSED_MEMORY
+}
+
+/** Failures that the host has seen since it closed its target. */
+export function failures (view: HostView): number {
+  return view.report?.failures ?? 0
+}
+
 export function serviceTime (view: HostView): Decisions.Clock.Milliseconds {
   return view.report?.serviceTime ?? SERVICE_TIME_UNKNOWN
 }
--- a/packages/proxy/src/entry/placement.ts
+++ b/packages/proxy/src/entry/placement.ts
@@ -24,7 +24,11 @@
  * Cost of a farther target in units of one slot's load: bytes between zones and regions are paid for,
  * so work leaves a zone only when that zone is about that much busier.
  */
-const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 0.9, 3: 1.8 }
+const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 1.4, 3: 2.6 }
+/** Cost of each failure of a closed target that is tried all the same: an isolated failure is often the usual rate of errors. */
+const FAILURE_COST = 0.5
+/** Failures beyond which more of them count no further. */
+const FAILURES_MAXIMUM = 4
 /** Extra cost of a target whose recovery is not confirmed, for requests that must not fail there. */
 const UNCONFIRMED_COST = 0.8
 /** Ratio to the mean service time of the candidates beyond which slowness counts no further. */
@@ -55,7 +59,7 @@
   /** The target of the next attempt, or undefined when none is usable. */
   choose (candidates: readonly Registrations.Registration[], wish: Wish, now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
     const usable = candidates.filter(candidate => !wish.excluded.has(candidate.target) && this.views.of(candidate.target).avoidedUntil <= now)
-    const open = usable.filter(candidate => wish.insists || (HostViews.closedFor(this.views.of(candidate.target), now) ?? 0) <= 0)
+    const open = usable.filter(candidate => wish.insists || this.takes(candidate, wish, now))
     const reference = this.meanServiceTime(open)
     const options = open.map(candidate => this.option(candidate, wish, reference, now))
     let best: Option | undefined
@@ -66,6 +70,16 @@
     return best?.registration
   }
 
+  /** Whether any candidate is closed, so that a request which insists could run there. */
+  anyClosed (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): boolean {
+    return candidates.some(candidate => HostViews.takesOnlyTrials(this.views.of(candidate.target), now))
+  }
+
+  private takes (registration: Registrations.Registration, { careful }: Wish, now: Decisions.Clock.Milliseconds): boolean {
+    const view = this.views.of(registration.target)
+    return careful ? !HostViews.takesOnlyTrials(view, now) : (HostViews.closedFor(view, now) ?? 0) <= 0
+  }
+
   /** Milliseconds until a closed or avoided target may be tried again; undefined when there is none. */
   nextOpening (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): number | undefined {
     const waits = candidates.map(candidate => {
@@ -81,8 +95,9 @@
     const own = HostViews.serviceTime(view)
     const slowness = own > 0 && reference > 0 ? Math.min(own / reference, SLOWNESS_MAXIMUM) : 1
     const unconfirmed = wish.careful && HostViews.closedFor(view, now) !== undefined ? UNCONFIRMED_COST : 0
+    const failed = wish.insists ? FAILURE_COST * Math.min(HostViews.failures(view), FAILURES_MAXIMUM) : 0
     const load = (HostViews.busyness(view, now) + 1) / registration.slots
-    return { registration, distance, cost: load * slowness + DISTANCE_COST[distance] + unconfirmed }
+    return { registration, distance, cost: load * slowness + DISTANCE_COST[distance] + unconfirmed + failed }
   }
 
   private meanServiceTime (candidates: readonly Registrations.Registration[]): number {
--- a/packages/proxy/src/entry/retry-budget.ts
+++ b/packages/proxy/src/entry/retry-budget.ts
@@ -15,7 +15,7 @@
  * Share of the allowance that is used. The rest covers repeats that nodes cannot see:
  * calls that a repeated request makes again at another service.
  */
-const USABLE_SHARE = 0.6
+const USABLE_SHARE = 0.85
 
 class ServiceBudget {
   readonly requests: Decisions.RollingCounts.RollingCount
--- a/packages/proxy/src/host/gate.ts
+++ b/packages/proxy/src/host/gate.ts
@@ -26,6 +26,7 @@
   private hold = HOLD
   private failedAt: Decisions.Clock.Milliseconds | undefined
   private trialsLeft = 0
+  private failuresInClosure = 0
   private trialRunning = false
 
   /** Milliseconds until the next trial; undefined when the gate is open. */
@@ -33,6 +34,11 @@
     return this.closedUntil === undefined ? undefined : Math.max(0, this.closedUntil - now)
   }
 
+  /** Failures since the gate closed; zero when it is open. */
+  get failures (): number {
+    return this.failuresInClosure
+  }
+
   /**
    * Decides about one request. A passage of `trial` must be reported back by `succeeded`, `failed` or `abandoned`.
    * A request that `insists` found no other target; trying it here is better than not serving it.
@@ -56,12 +62,14 @@
     this.trialsLeft -= 1
     if (this.trialsLeft > 0) return
     this.closedUntil = undefined
+    this.failuresInClosure = 0
     this.hold = HOLD
   }
 
   failed (passage: Passage, now: Decisions.Clock.Milliseconds): void {
     const repeated = this.failedAt !== undefined && now - this.failedAt < FAULT_SPAN
     this.failedAt = now
+    this.failuresInClosure += 1
     if (passage === 'trial') {
       this.trialRunning = false
       this.hold = Decisions.Clock.milliseconds(Math.min(this.hold * HOLD_GROWTH, HOLD_MAXIMUM))
@@ -80,6 +88,7 @@
     this.closedUntil = undefined
     this.hold = HOLD
     this.failedAt = undefined
+    this.failuresInClosure = 0
     this.trialRunning = false
   }
 }
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -36,6 +36,8 @@
   /** Address of the local target. */
   readonly targetAddress: Decisions.Ids.Endpoint
   readonly version: () => Decisions.Ids.Version
+  /** Called when the gate of the target closes, stays closed after a failure, or opens. */
+  readonly gateChanged: (target: Decisions.Ids.TargetId, report: HostReports.HostReport) => void
 }
 
 export class Host {
@@ -48,6 +50,7 @@
   private readonly connections = new Connections.Connections()
   private leaving = false
   private callFailedAt: Decisions.Clock.Milliseconds | undefined
+  private answeredAt = Decisions.Clock.milliseconds(0)
 
   constructor (parts: HostParts) {
     this.parts = parts
@@ -82,6 +85,7 @@
       waiting: this.slots.waiting,
       slots: this.slots.capacity,
       closedFor: this.gate.closedFor(now),
+      failures: this.gate.failures,
       serviceTime: this.serviceTime.mean,
       version: this.parts.version()
     }
@@ -158,7 +162,7 @@
       requester.withdrew = true
       exchange.cancel('requester withdrew')
     })
-    const silence = setTimeout(() => { this.suspect(work, passage) }, work.latencyObjective)
+    const silence = setTimeout(() => { this.suspect(work, passage, startedAt) }, work.latencyObjective)
     const end = await exchange.end
     clearTimeout(silence)
     const elapsed = Decisions.Clock.between(startedAt, this.parts.clock.now())
@@ -207,9 +211,13 @@
     return { kind: 'answered', response }
   }
 
-  /** A target that stays silent for longer than the route's objective is treated as failing until it answers. */
-  private suspect (work: Works.Work, passage: Gates.Passage): void {
-    this.gate.failed(passage, this.parts.clock.now())
+  /**
+   * A target that answers nothing for longer than the route's objective is treated as failing. While it answers other
+   * requests, this one may just be long.
+   */
+  private suspect (work: Works.Work, passage: Gates.Passage, startedAt: Decisions.Clock.Milliseconds): void {
+    if (this.answeredAt >= startedAt) return
+    this.failed(work, passage)
     this.parts.log.info('target silent beyond the latency objective; holding non-idempotent work back', {
       request: work.request, target: work.target, objective: work.latencyObjective, closedFor: this.gate.closedFor(this.parts.clock.now())
     })
@@ -220,6 +228,7 @@
     const now = clock.now()
     switch (outcome.kind) {
       case 'answered': {
+        this.answeredAt = now
         const failed = outcome.response.status >= SERVER_ERROR
         if (failed && this.isExplained(outcome.response.status, work, elapsed, now)) {
           this.gate.abandoned(passage)
@@ -228,10 +237,10 @@
         metrics.worked(failed ? 'error' : 'success', elapsed)
         if (!failed) {
           this.serviceTime.add(elapsed)
-          this.gate.succeeded(passage)
+          this.succeeded(work, passage)
           break
         }
-        this.gate.failed(passage, now)
+        this.failed(work, passage)
         log.info('target answered with an error; holding non-idempotent work back', {
           request: work.request, target: work.target, status: outcome.response.status, elapsed, passage, repeatable: work.repeatable, closedFor: this.gate.closedFor(now)
         })
@@ -241,11 +250,11 @@
         metrics.worked(outcome.reason, elapsed)
         // A timeout shorter than the route's objective says nothing about the target.
         if (outcome.reason === 'timed-out' && elapsed < work.latencyObjective) this.gate.abandoned(passage)
-        else this.gate.failed(passage, now)
+        else this.failed(work, passage)
         log.warn('target gave no valid response', { request: work.request, target: work.target, reason: outcome.reason, detail: outcome.detail, elapsed })
         break
       case 'refused':
-        this.observeRefusal(work, outcome.reason, passage, now)
+        this.observeRefusal(work, outcome.reason, passage)
         break
       case 'withdrawn':
         metrics.worked('withdrawn', elapsed)
@@ -254,6 +263,17 @@
     }
   }
 
+  private failed (work: Works.Work, passage: Gates.Passage): void {
+    this.gate.failed(passage, this.parts.clock.now())
+    this.parts.gateChanged(work.target, this.report())
+  }
+
+  private succeeded (work: Works.Work, passage: Gates.Passage): void {
+    const wasClosed = this.gate.failures > 0
+    this.gate.succeeded(passage)
+    if (wasClosed && this.gate.failures === 0) this.parts.gateChanged(work.target, this.report())
+  }
+
   /** An error that says nothing about the target: a short timeout, or a call of its own that failed elsewhere. */
   private isExplained (status: number, work: Works.Work, elapsed: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): boolean {
     if (status === STATUS_TIMEOUT && elapsed < work.latencyObjective) return true
@@ -262,9 +282,9 @@
     return callFailed
   }
 
-  private observeRefusal (work: Works.Work, reason: Works.RefusalReason, passage: Gates.Passage, now: Decisions.Clock.Milliseconds): void {
+  private observeRefusal (work: Works.Work, reason: Works.RefusalReason, passage: Gates.Passage): void {
     if (reason === 'target-changed') this.parts.localTarget.replaced(work.target)
-    if (reason === 'target-unreachable') this.gate.failed(passage, now)
+    if (reason === 'target-unreachable') this.failed(work, passage)
     else this.gate.abandoned(passage)
     this.parts.log.info('target did not run the request', { request: work.request, target: work.target, reason })
   }
--- /dev/null
+++ b/packages/proxy/src/host/report-channel.ts
@@ -0,0 +1,98 @@
+/**
+ * Tells the nodes of the same data center when the local target's gate closes or opens, so that their entries neither
+ * ask a closed target nor pass over one that has recovered. JSON-RPC 2.0 notifications in UDP datagrams: a lost one
+ * costs a refused attempt.
+ */
+import * as Dgram from 'node:dgram'
+import * as Decisions from '@jasminedale/decisions'
+import * as JsonRpc from 'json-rpc-2.0'
+import * as zod from 'zod'
+import type * as Directories from '../directory/directory.js'
+import type * as HostViews from '../entry/host-views.js'
+import type * as Logs from '../observation/log.js'
+import type * as Settings from '../settings.js'
+import * as HostReports from './host-report.js'
+
+const METHOD = 'report'
+/** Nodes that are told; in a larger data center the others learn from refusals. */
+const RECIPIENTS_MAXIMUM = 32
+
+const notificationSchema = zod.object({ method: zod.literal(METHOD), params: zod.tuple([zod.string().min(1), zod.string()]) })
+
+export interface ReportChannelParts {
+  readonly settings: Settings.ProxySettings
+  readonly directory: Directories.Directory
+  readonly views: HostViews.HostViews
+  readonly clock: Decisions.Clock.Clock
+  readonly log: Logs.Log
+}
+
+export class ReportChannel {
+  private readonly parts: ReportChannelParts
+  private readonly socket = Dgram.createSocket('udp4')
+  private isOpen = false
+
+  constructor (parts: ReportChannelParts) {
+    this.parts = parts
+    this.socket.on('message', message => { this.receive(message) })
+    this.socket.on('error', error => { parts.log.warn('datagrams of other nodes cannot be received', { error: error.message }) })
+  }
+
+  /** Binds the port of this node; rejects with the system's error when it is not available. */
+  async open (): Promise<void> {
+    const { place, reportPort } = this.parts.settings
+    await new Promise<void>((resolve, reject) => {
+      this.socket.once('error', reject)
+      this.socket.bind(reportPort, addressOf(place.host), () => {
+        this.socket.off('error', reject)
+        this.isOpen = true
+        resolve()
+      })
+    })
+  }
+
+  /** Sends the state of the local target to the other nodes of this data center. */
+  announce (target: Decisions.Ids.TargetId, report: HostReports.HostReport): void {
+    if (!this.isOpen) return
+    const { settings: { place, reportPort }, directory, log } = this.parts
+    const message = JSON.stringify(JsonRpc.createJSONRPCNotification(METHOD, [target, HostReports.format(report)]))
+    const others = directory.inDataCenter(place.dataCenter).filter(registration => registration.host !== place.host)
+    for (const { host } of others.slice(0, RECIPIENTS_MAXIMUM)) {
+      this.socket.send(message, reportPort, addressOf(host), error => {
+        if (error !== null) log.debug('report could not be sent', { host, error: error.message })
+      })
+    }
+  }
+
+  /** Ends the channel; requests that end later are not announced. */
+  close (): void {
+    if (!this.isOpen) return
+    this.isOpen = false
+    this.socket.close()
+  }
+
+  private receive (message: Buffer): void {
+    const { directory, views, clock, log } = this.parts
+    const notification = notificationSchema.safeParse(parseJson(message))
+    const report = HostReports.parse(notification.data?.params[1])
+    if (notification.data === undefined || report === undefined) {
+      log.warn('datagram of another node cannot be read', { bytes: message.length })
+      return
+    }
+    const target = Decisions.Ids.targetId(notification.data.params[0])
+    if (directory.get(target) !== undefined) views.heard(target, report, clock.now())
+  }
+}
+
+function parseJson (message: Buffer): unknown {
+  try {
+    return JSON.parse(message.toString())
+  } catch {
+    // The schema rejects what is no JSON, and the caller logs it.
+    return undefined
+  }
+}
+
+function addressOf (endpoint: Decisions.Ids.Endpoint): string {
+  return endpoint.slice(0, endpoint.lastIndexOf(':'))
+}
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -9,6 +9,7 @@
 import * as Senders from './entry/sender.js'
 import * as HostServers from './host/host-server.js'
 import * as Hosts from './host/host.js'
+import * as ReportChannels from './host/report-channel.js'
 import * as LocalTargets from './host/local-target.js'
 import * as Membership from './membership.js'
 import type * as Logs from './observation/log.js'
@@ -43,6 +44,7 @@
   readonly views: HostViews.HostViews
   readonly connections: Connections.Connections
   readonly host: Hosts.Host
+  readonly reportChannel: ReportChannels.ReportChannel
   readonly hostServer: HostServers.HostServer
   readonly peerState: PeerStates.PeerState
   readonly placer: Placements.Placer
@@ -72,8 +74,8 @@
   }
 
   async start (): Promise<void> {
-    const { servers, synchronizer, log, settings } = this.parts
-    await servers.open()
+    const { servers, reportChannel, synchronizer, log, settings } = this.parts
+    await Promise.all([servers.open(), reportChannel.open()])
     synchronizer.start()
     log.info('node started', { service: settings.service, dataCenter: settings.place.dataCenter, region: settings.place.region, host: settings.place.host })
   }
@@ -120,11 +122,12 @@
 
   /** Ends the node at once. */
   close (): void {
-    const { servers, synchronizer, sharedLog, registrar, connections } = this.parts
+    const { servers, reportChannel, synchronizer, sharedLog, registrar, connections } = this.parts
     synchronizer.stop()
     registrar.stop()
     sharedLog.close()
     servers.close()
+    reportChannel.close()
     connections.destroy()
   }
 }
@@ -151,8 +154,10 @@
     connections: Awilix.asClass(Connections.Connections).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
       clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget,
-      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version
+      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
+      gateChanged: (target, report) => { cradle.reportChannel.announce(target, report) }
     })).singleton(),
+    reportChannel: Awilix.asClass(ReportChannels.ReportChannel).singleton(),
     hostServer: Awilix.asClass(HostServers.HostServer).singleton(),
     peerState: Awilix.asClass(PeerStates.PeerState).singleton(),
     placer: Awilix.asFunction((cradle: Cradle) => new Placements.Placer(cradle.settings.place, cradle.views, cradle.random)).singleton(),
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -12,6 +12,8 @@
   readonly targetAddress: Decisions.Ids.Endpoint
   /** Where callers on this VM send requests. */
   readonly callerAddress: Decisions.Ids.Endpoint
+  /** UDP port on which nodes tell each other about their targets; the same on all nodes. */
+  readonly reportPort: number
   readonly retryBudget: RetryBudgets.BudgetTerms
   /** Time after the request to stop at which the process must have ended. */
   readonly stopLimit: Decisions.Clock.Milliseconds
--- a/packages/proxy/tests/entry/placement.test.ts
+++ b/packages/proxy/tests/entry/placement.test.ts
@@ -12,7 +12,7 @@
 const WISH: Placements.Wish = { careful: false, insists: false, excluded: new Set() }
 
 function report (over: Partial<HostReports.HostReport>): HostReports.HostReport {
-  return { running: 0, waiting: 0, slots: 4, closedFor: undefined, serviceTime: at(100), version: Decisions.Ids.version(1), ...over }
+  return { running: 0, waiting: 0, slots: 4, closedFor: undefined, failures: 0, serviceTime: at(100), version: Decisions.Ids.version(1), ...over }
 }
 
 function setup (): { views: HostViews.HostViews, placer: Placements.Placer } {
@@ -73,3 +73,24 @@
   assert.equal(placer.choose([Samples.registration('a')], WISH, at(1_500)), undefined)
   assert.equal(placer.choose([Samples.registration('a')], WISH, at(1_601))?.target, 'a')
 })
+
+// Found on Ceara scale-1: a closed target was asked again after its pause by requests that it takes only after a trial.
+test('request that must not fail passes over a closed target until its trial', () => {
+  const { placer, views } = setup()
+  const candidates = [Samples.registration('closed'), Samples.registration('open', { dataCenter: Decisions.Ids.dataCenter('b') })]
+  views.heard(Decisions.Ids.targetId('closed'), report({ closedFor: 300, failures: 1 }), at(0))
+  const careful = { ...WISH, careful: true }
+  assert.deepEqual(counts(placer, candidates, careful, at(400)), { open: 300 })
+  assert.deepEqual(counts(placer, candidates, WISH, at(400)), { closed: 300 }, 'other work may be the trial')
+  views.heard(Decisions.Ids.targetId('closed'), report({}), at(500))
+  assert.deepEqual(counts(placer, candidates, careful, at(500)), { closed: 300 })
+})
+
+// Guards against insisting on a target with an ongoing fault while another has failed once.
+test('request that insists takes the target with the fewest failures', () => {
+  const { placer, views } = setup()
+  const candidates = [Samples.registration('faulty'), Samples.registration('lucky')]
+  views.heard(Decisions.Ids.targetId('faulty'), report({ closedFor: 300, failures: 4 }), at(0))
+  views.heard(Decisions.Ids.targetId('lucky'), report({ closedFor: 300, failures: 1 }), at(0))
+  assert.deepEqual(counts(placer, candidates, { ...WISH, careful: true, insists: true }, at(1)), { lucky: 300 })
+})
--- a/packages/proxy/tests/host/forwarding.test.ts
+++ b/packages/proxy/tests/host/forwarding.test.ts
@@ -5,7 +5,7 @@
 import type * as HostReports from '../../src/host/host-report.js'
 
 const REPORT: HostReports.HostReport = {
-  running: 2, waiting: 1, slots: 4, closedFor: 120, serviceTime: Decisions.Clock.milliseconds(210), version: Decisions.Ids.version(7)
+  running: 2, waiting: 1, slots: 4, closedFor: 120, failures: 2, serviceTime: Decisions.Clock.milliseconds(210), version: Decisions.Ids.version(7)
 }
 
 test('terms survive the way between nodes', () => {
--- a/packages/proxy/tests/host/host.test.ts
+++ b/packages/proxy/tests/host/host.test.ts
@@ -3,6 +3,7 @@
 import { test } from 'node:test'
 import * as Decisions from '@jasminedale/decisions'
 import * as Hosts from '../../src/host/host.js'
+import type * as HostReports from '../../src/host/host-report.js'
 import * as LocalTargets from '../../src/host/local-target.js'
 import type * as Works from '../../src/host/work.js'
 import * as Logs from '../../src/observation/log.js'
@@ -23,19 +24,21 @@
   }
 }
 
-async function withHost (status: () => number, use: (host: Hosts.Host, local: LocalTargets.LocalTarget) => Promise<void>): Promise<void> {
+async function withHost (status: () => number, use: (host: Hosts.Host, local: LocalTargets.LocalTarget, reports: readonly HostReports.HostReport[]) => Promise<void>): Promise<void> {
   const server = Http.createServer((_request, response) => { setTimeout(() => { response.writeHead(status()).end() }, 20) })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const address = server.address()
+  const reports: HostReports.HostReport[] = []
   const localTarget = new LocalTargets.LocalTarget()
   localTarget.hear({ target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(1), sequence: 1 })
   const host = new Hosts.Host({
     clock: CLOCK, dialect: new PlainDialects.PlainDialect(), log: new Logs.SilentLog(), metrics: new Metrics.Metrics(), localTarget,
-    targetAddress: Decisions.Ids.endpoint(`127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`), version: () => Decisions.Ids.version(1)
+    targetAddress: Decisions.Ids.endpoint(`127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`), version: () => Decisions.Ids.version(1),
+    gateChanged: (_target, report) => { reports.push(report) }
   })
   host.targetReplaced(4)
   try {
-    await use(host, localTarget)
+    await use(host, localTarget, reports)
   } finally {
     server.close()
     server.closeAllConnections()
@@ -79,3 +82,17 @@
     assert.equal(outcome.kind === 'refused' && outcome.reason, 'target-unknown')
   })
 })
+
+// Found on Ceara scale-1: entries asked closed targets 8,064 times for 5,726 answers, since nobody told them of closed gates.
+test('changes of the gate are reported', async () => {
+  const statuses = [500, 500, 200]
+  await withHost(() => statuses.shift() ?? 200, async (host, _local, reports) => {
+    await host.run(work())
+    await host.run(work({ insists: true }))
+    assert.deepEqual(reports.map(({ failures }) => failures), [1, 2])
+    await host.run(work({ insists: true }))
+    await host.run(work({ insists: true }))
+    assert.equal(reports.at(-1)?.closedFor, undefined)
+    assert.equal(reports.length, 3)
+  })
+})
--- a/packages/proxy/tests/membership.test.ts
+++ b/packages/proxy/tests/membership.test.ts
@@ -23,7 +23,7 @@
     settings: {
       node: Decisions.Ids.nodeId('n'), service: Samples.SERVICE, targetAddress: HOST, callerAddress: HOST, stopLimit: Decisions.Clock.seconds(6),
       place: { host: HOST, dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') },
-      retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }
+      reportPort: 1, retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }
     },
     log: new Logs.SilentLog(), directory, localTarget: local, views: new HostViews.HostViews(),
     host: { targetReplaced: () => { /* Not watched. */ } },
