feat(proxy): send trials first, tell of closed neighbours, see slow targets sooner

Ruled out: more time for refusals. They are refused as late by full queues.

Change: an answer of a host names the closed targets of its service in its data center. A request that may be the trial goes first to a near target that waits for one. A request that ends at its deadline or is withdrawn raises the mean service time; the last five count instead of ten. A reported load fades with 1.5 s instead of 0.6 s.

--- a/packages/proxy/src/entry/host-views.ts
+++ b/packages/proxy/src/entry/host-views.ts
@@ -2,8 +2,8 @@
 import * as Decisions from '@jasminedale/decisions'
 import type * as HostReports from '../host/host-report.js'
 
-/** A reported load tells little after this time: the work it counted has ended. */
-const LOAD_MEMORY = Decisions.Clock.milliseconds(600)
+/** A reported load fades with this time constant: single requests end sooner, but a busy target stays busy for seconds. */
+const LOAD_MEMORY = Decisions.Clock.milliseconds(1_500)
 /** Time after the pause of a closed target for which it is taken to be closed: trials come about once a second. */
 const CLOSED_MEMORY = Decisions.Clock.seconds(2)
 /** Pause after a host could not be reached; doubles with each failure in a row. */
@@ -16,6 +16,8 @@
   inFlight: number
   report: HostReports.HostReport | undefined
   reportedAt: Decisions.Clock.Milliseconds
+  /** Instant from which a closed target may get a trial; undefined when it is open. */
+  closedUntil: Decisions.Clock.Milliseconds | undefined
   avoidedUntil: Decisions.Clock.Milliseconds
   failuresInRow: number
 }
@@ -27,16 +29,15 @@
     const known = this.byTarget.get(target)
     if (known !== undefined) return known
     const zero = Decisions.Clock.milliseconds(0)
-    const fresh: HostView = { inFlight: 0, report: undefined, reportedAt: zero, avoidedUntil: zero, failuresInRow: 0 }
+    const fresh: HostView = { inFlight: 0, report: undefined, reportedAt: zero, closedUntil: undefined, avoidedUntil: zero, failuresInRow: 0 }
     this.byTarget.set(target, fresh)
     return fresh
   }
 
   /** The host answered, and said this. */
   reported (target: Decisions.Ids.TargetId, report: HostReports.HostReport, now: Decisions.Clock.Milliseconds): void {
+    this.heard(target, report, now)
     const view = this.of(target)
-    view.report = report
-    view.reportedAt = now
     view.failuresInRow = 0
     view.avoidedUntil = Decisions.Clock.milliseconds(0)
   }
@@ -46,6 +47,14 @@
     const view = this.of(target)
     view.report = report
     view.reportedAt = now
+    view.closedUntil = report.closedFor === undefined ? undefined : Decisions.Clock.add(now, Decisions.Clock.milliseconds(report.closedFor))
+  }
+
+  /** Another host of the target's data center said whether the target is closed. */
+  toldOf (target: Decisions.Ids.TargetId, isClosed: boolean, now: Decisions.Clock.Milliseconds): void {
+    const view = this.of(target)
+    if (!isClosed) view.closedUntil = undefined
+    else if (view.closedUntil === undefined || view.closedUntil < now) view.closedUntil = now
   }
 
   /** The host refused because it is leaving or serves another target now. */
@@ -76,8 +85,7 @@
 
 /** Milliseconds until the target may be tried; zero after a pause whose outcome is not known yet; undefined when open. */
 export function closedFor (view: HostView, now: Decisions.Clock.Milliseconds): number | undefined {
-  const closed = view.report?.closedFor
-  return closed === undefined ? undefined : Math.max(0, view.reportedAt + closed - now)
+  return view.closedUntil === undefined ? undefined : Math.max(0, view.closedUntil - now)
 }
 
 /**
@@ -85,8 +93,7 @@
  * succeeded. News of that may get lost, so the knowledge expires.
  */
 export function takesOnlyTrials (view: HostView, now: Decisions.Clock.Milliseconds): boolean {
-  const closed = view.report?.closedFor
-  return closed !== undefined && now < view.reportedAt + closed + CLOSED_MEMORY
+  return view.closedUntil !== undefined && now < view.closedUntil + CLOSED_MEMORY
 }
 
 /** Failures that the host has seen since it closed its target. */
--- a/packages/proxy/src/entry/placement.ts
+++ b/packages/proxy/src/entry/placement.ts
@@ -27,6 +27,8 @@
 const DISTANCE_COST: Readonly<Record<Distance, number>> = { 0: 0, 1: 0.1, 2: 1.4, 3: 2.6 }
 /** Cost of each failure of a closed target that is tried all the same: an isolated failure is often the usual rate of errors. */
 const FAILURE_COST = 0.5
+/** Farthest distance of a trial: beyond the data center, bytes are paid for. */
+const TRIAL_DISTANCE = 1
 /** Failures beyond which more of them count no further. */
 const FAILURES_MAXIMUM = 4
 /** Extra cost of a target whose recovery is not confirmed, for requests that must not fail there. */
@@ -60,6 +62,8 @@
   choose (candidates: readonly Registrations.Registration[], wish: Wish, now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
     const usable = candidates.filter(candidate => !wish.excluded.has(candidate.target) && this.views.of(candidate.target).avoidedUntil <= now)
     const open = usable.filter(candidate => wish.insists || this.takes(candidate, wish, now))
+    const due = wish.careful || wish.insists ? undefined : this.random.pick(open.filter(candidate => this.isDue(candidate, now)))
+    if (due !== undefined) return due
     const reference = this.meanServiceTime(open)
     const options = open.map(candidate => this.option(candidate, wish, reference, now))
     let best: Option | undefined
@@ -75,6 +79,14 @@
     return candidates.some(candidate => HostViews.takesOnlyTrials(this.views.of(candidate.target), now))
   }
 
+  /**
+   * Whether a near target waits for a trial. Requests that may be the trial go there first: until one succeeds, the
+   * target is lost for all other work.
+   */
+  private isDue (registration: Registrations.Registration, now: Decisions.Clock.Milliseconds): boolean {
+    return distanceOf(this.place, registration) <= TRIAL_DISTANCE && HostViews.closedFor(this.views.of(registration.target), now) === 0
+  }
+
   private takes (registration: Registrations.Registration, { careful }: Wish, now: Decisions.Clock.Milliseconds): boolean {
     const view = this.views.of(registration.target)
     return careful ? !HostViews.takesOnlyTrials(view, now) : (HostViews.closedFor(view, now) ?? 0) <= 0
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -1,7 +1,9 @@
 /** Makes one attempt at a chosen target, on this node or through the target's host. */
 import * as Decisions from '@jasminedale/decisions'
+import type * as Directories from '../directory/directory.js'
 import type * as Registrations from '../directory/registration.js'
 import * as Forwarding from '../host/forwarding.js'
+import type * as HostReports from '../host/host-report.js'
 import type * as Hosts from '../host/host.js'
 import type * as Works from '../host/work.js'
 import type * as Connections from '../transport/connections.js'
@@ -31,6 +33,7 @@
   readonly place: Placements.Place
   readonly origin: Decisions.Ids.Service
   readonly views: HostViews.HostViews
+  readonly directory: Directories.Directory
   readonly connections: Connections.Connections
   /** Called with the version that another node has in force. */
   readonly versionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
@@ -143,7 +146,8 @@
     }
   }
 
-  private read ({ target, host }: Registrations.Registration, end: Exchanges.ExchangeEnd): Works.Outcome {
+  private read (registration: Registrations.Registration, end: Exchanges.ExchangeEnd): Works.Outcome {
+    const { target, host } = registration
     const { clock, views, versionSeen } = this.parts
     const now = clock.now()
     switch (end.kind) {
@@ -155,6 +159,7 @@
         const { outcome, report } = Forwarding.parseOutcome(end.response)
         if (report !== undefined) {
           views.reported(target, report, now)
+          this.learn(registration, report, now)
           versionSeen(report.version, host)
         }
         this.absent(target, outcome)
@@ -163,6 +168,16 @@
     }
   }
 
+  /** Takes over what a host in another data center says of its neighbours; those of the own one report themselves. */
+  private learn ({ target, service, dataCenter }: Registrations.Registration, { closedNearby }: HostReports.HostReport, now: Decisions.Clock.Milliseconds): void {
+    const { views, directory, place } = this.parts
+    if (closedNearby === undefined || dataCenter === place.dataCenter) return
+    const closed = new Set(closedNearby)
+    for (const other of directory.ready(service)) {
+      if (other.dataCenter === dataCenter && other.target !== target) views.toldOf(other.target, closed.has(other.target), now)
+    }
+  }
+
   /** The directory follows within a second; until then the target is not asked again. */
   private absent (target: Decisions.Ids.TargetId, outcome: Works.Outcome): void {
     if (outcome.kind !== 'refused') return
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -1,6 +1,9 @@
 /** Takes requests that other nodes forward to the local target. */
 import type * as Http from 'node:http'
 import * as Decisions from '@jasminedale/decisions'
+import type * as Directories from '../directory/directory.js'
+import * as HostViews from '../entry/host-views.js'
+import type * as Settings from '../settings.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Bodies from '../transport/body.js'
 import * as Forwarding from './forwarding.js'
@@ -15,6 +18,9 @@
   readonly clock: Decisions.Clock.Clock
   readonly dialect: Dialects.Dialect
   readonly host: Hosts.Host
+  readonly directory: Directories.Directory
+  readonly views: HostViews.HostViews
+  readonly settings: Pick<Settings.ProxySettings, 'place' | 'service'>
 }
 
 export class HostServer {
@@ -43,13 +49,20 @@
       const body = await Bodies.read(request, BODY_LIMIT)
       return body.isOk() ? body.value : undefined
     }))
-    const { status, headers, body } = Forwarding.formatOutcome(await outcome, host.report())
+    const { status, headers, body } = Forwarding.formatOutcome(await outcome, { ...host.report(), closedNearby: this.closedNearby() })
     if (response.destroyed) return
     request.resume()
     response.writeHead(status, [...headers, 'Content-Length', String(body.length)])
     response.end(request.method === 'HEAD' ? undefined : body)
   }
 
+  /** What this node knows of the gates of its data center, as far as the requester may use those targets. */
+  private closedNearby (): Decisions.Ids.TargetId[] {
+    const { directory, views, clock, settings: { place, service } } = this.parts
+    const near = directory.ready(service).filter(registration => registration.dataCenter === place.dataCenter && registration.host !== place.host)
+    return near.map(({ target }) => target).filter(target => HostViews.takesOnlyTrials(views.of(target), clock.now()))
+  }
+
   private workOf (request: Http.IncomingMessage, response: Http.ServerResponse, terms: Forwarding.Terms, commit: Works.Work['commit']): Works.Work {
     const { clock, dialect } = this.parts
     return {
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -248,6 +248,7 @@
       }
       case 'failed':
         metrics.worked(outcome.reason, elapsed)
+        if (outcome.reason === 'timed-out') this.serviceTime.exceeds(elapsed)
         // A timeout shorter than the route's objective says nothing about the target.
         if (outcome.reason === 'timed-out' && elapsed < work.latencyObjective) this.gate.abandoned(passage)
         else this.failed(work, passage)
@@ -258,6 +259,7 @@
         break
       case 'withdrawn':
         metrics.worked('withdrawn', elapsed)
+        this.serviceTime.exceeds(elapsed)
         this.gate.abandoned(passage)
         break
     }
--- a/packages/proxy/src/host/service-time.ts
+++ b/packages/proxy/src/host/service-time.ts
@@ -1,8 +1,8 @@
 /** Running mean and spread of how long requests take. */
 import * as Decisions from '@jasminedale/decisions'
 
-/** Weight of a new sample: about the last ten count. */
-const GAIN = 0.1
+/** Weight of a new sample: about the last five count, so that a slowed target is seen within two seconds. */
+const GAIN = 0.2
 /** Assumed mean before the first sample, of the order of the users' requests. */
 const MEAN_INITIAL = 150
 const DEVIATION_INITIAL = 75
@@ -14,12 +14,17 @@
 
   add (elapsed: Decisions.Clock.Milliseconds): void {
     this.samples += 1
-    // The first samples count in full, so that the assumption fades within ten requests.
+    // The first samples count in full, so that the assumption fades within five requests.
     const gain = Math.max(GAIN, 1 / this.samples)
     this.spread += gain * (Math.abs(elapsed - this.average) - this.spread)
     this.average += gain * (elapsed - this.average)
   }
 
+  /** A request that did not end took at least this long. It tells only of a target that is slower than known. */
+  exceeds (elapsed: Decisions.Clock.Milliseconds): void {
+    if (elapsed > this.average) this.add(elapsed)
+  }
+
   get mean (): Decisions.Clock.Milliseconds {
     return Decisions.Clock.milliseconds(this.average)
   }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -163,7 +163,7 @@
     placer: Awilix.asFunction((cradle: Cradle) => new Placements.Placer(cradle.settings.place, cradle.views, cradle.random)).singleton(),
     budget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(cradle.settings.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
-      clock: cradle.clock, host: cradle.host, place: cradle.settings.place, origin: cradle.settings.service, views: cradle.views,
+      clock: cradle.clock, host: cradle.host, place: cradle.settings.place, origin: cradle.settings.service, views: cradle.views, directory: cradle.directory,
       connections: cradle.connections, versionSeen: (version, address) => { cradle.synchronizer.versionSeen(version, address) }
     })).singleton(),
     gateway: Awilix.asClass(Gateways.Gateway).singleton(),
--- a/packages/proxy/tests/entry/placement.test.ts
+++ b/packages/proxy/tests/entry/placement.test.ts
@@ -94,3 +94,24 @@
   views.heard(Decisions.Ids.targetId('lucky'), report({ closedFor: 300, failures: 1 }), at(0))
   assert.deepEqual(counts(placer, candidates, { ...WISH, careful: true, insists: true }, at(1)), { lucky: 300 })
 })
+
+// Found on Ceara quiet-1: targets that had recovered stayed without work until a request that may be the trial came by.
+test('request that may be the trial goes to a target that waits for one', () => {
+  const { placer, views } = setup()
+  const candidates = ['waits', 'open', 'idle', 'free'].map(name => Samples.registration(name))
+  views.heard(Decisions.Ids.targetId('waits'), report({ closedFor: 300, failures: 3 }), at(0))
+  assert.deepEqual(counts(placer, candidates, WISH, at(301)), { waits: 300 })
+  assert.equal(counts(placer, candidates, { ...WISH, careful: true }, at(301)).waits, undefined)
+})
+
+// Found on Ceara trouble-1: in other data centers 3,038 attempts met closed targets, for 2,026 answers.
+test('host elsewhere tells which of its neighbours are closed', () => {
+  const { placer, views } = setup()
+  const elsewhere = { dataCenter: Decisions.Ids.dataCenter('b') }
+  const candidates = [Samples.registration('closed', elsewhere), Samples.registration('open', elsewhere)]
+  views.toldOf(Decisions.Ids.targetId('closed'), true, at(0))
+  const careful = { ...WISH, careful: true }
+  assert.deepEqual(counts(placer, candidates, careful, at(1)), { open: 300 })
+  views.toldOf(Decisions.Ids.targetId('closed'), false, at(2))
+  assert.ok((counts(placer, candidates, careful, at(3)).closed ?? 0) > 50)
+})
--- a/packages/proxy/tests/host/forwarding.test.ts
+++ b/packages/proxy/tests/host/forwarding.test.ts
@@ -45,3 +45,11 @@
   const { outcome } = Forwarding.parseOutcome({ ...Forwarding.formatOutcome({ kind: 'answered', response }, REPORT), framed: true })
   assert.equal(outcome.kind === 'answered' && outcome.response.framed, false)
 })
+
+// Guards against a report whose neighbours are lost or read as another field.
+test('closed neighbours travel with the report', () => {
+  for (const closedNearby of [[], ['t2', 't3'].map(Decisions.Ids.targetId)]) {
+    const { report } = Forwarding.parseOutcome(Forwarding.formatOutcome({ kind: 'refused', reason: 'target-closed', retryAfter: 50 }, { ...REPORT, closedNearby }))
+    assert.deepEqual(report, { ...REPORT, closedNearby })
+  }
+})
--- /dev/null
+++ b/packages/proxy/tests/host/service-time.test.ts
@@ -0,0 +1,22 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as ServiceTimes from '../../src/host/service-time.js'
+
+const at = Decisions.Clock.milliseconds
+
+// Found on Ceara trouble-1: a target five times slower kept its old mean, since its slowest requests ended at their deadline.
+test('requests that did not end raise the mean', () => {
+  const time = new ServiceTimes.ServiceTime()
+  for (let count = 0; count < 20; count += 1) time.add(at(200))
+  for (let count = 0; count < 5; count += 1) time.exceeds(at(1_500))
+  assert.ok(time.mean > 3 * 200, `mean is ${time.mean}`)
+})
+
+// Guards against requests withdrawn at once that make a target look fast.
+test('requests withdrawn early say nothing', () => {
+  const time = new ServiceTimes.ServiceTime()
+  for (let count = 0; count < 20; count += 1) time.add(at(200))
+  time.exceeds(at(5))
+  assert.equal(Math.round(time.mean), 200)
+})
