feat(proxy): try a target that has failed once when open ones are full

Ruled out: more requests (417 and 422 asked before and in the fall), the store (no line of it in that time).

Change: a request that an open target has refused as late goes to a near closed target that has failed no more than once since it closed. Such a failure is as often the usual rate of errors as the start of a fault.

--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -97,7 +97,7 @@
     const now = parts.clock.now()
     const candidates = parts.directory.ready(request.service)
     const wish = { careful: !this.mayTry(now), insists: false, excluded: this.excluded }
-    const chosen = parts.placer.choose(candidates, wish, now) ?? this.lastResort(candidates, now)
+    const chosen = this.suspectInTime(candidates, now) ?? parts.placer.choose(candidates, wish, now) ?? this.lastResort(candidates, now)
     if (chosen === undefined) {
       this.lackTarget(candidates, now)
       return
@@ -110,6 +110,14 @@
     this.start(chosen, now)
   }
 
+  /** With the open targets full, a near one that has failed only once is tried: most of its requests may succeed. */
+  private suspectInTime (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
+    if (this.insisted || this.lateRefusals === 0) return undefined
+    const suspect = this.parts.placer.suspect(candidates, this.ranOn, now)
+    this.insisted = suspect !== undefined
+    return suspect
+  }
+
   /** With every target closed, one of them is tried: its last failure may have been the usual rate of errors. */
   private lastResort (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
     if (this.insisted || (this.closedRefusals === 0 && !this.parts.placer.anyClosed(candidates, now))) return undefined
--- a/packages/proxy/src/entry/placement.ts
+++ b/packages/proxy/src/entry/placement.ts
@@ -29,6 +29,10 @@
 const FAILURE_COST = 0.5
 /** Farthest distance of a trial: beyond the data center, bytes are paid for. */
 const TRIAL_DISTANCE = 1
+/** Farthest distance of a closed target that is tried while open ones are full: bytes beyond the data center are paid for. */
+const SUSPECT_DISTANCE = 1
+/** Failures of such a target: one is as often the usual rate of errors as the start of a fault, two are hardly ever. */
+const SUSPECT_FAILURES = 1
 /** Failures beyond which more of them count no further. */
 const FAILURES_MAXIMUM = 4
 /** Extra cost of a target whose recovery is not confirmed, for requests that must not fail there. */
@@ -87,6 +91,16 @@
     return distanceOf(this.place, registration) <= TRIAL_DISTANCE && HostViews.closedFor(this.views.of(registration.target), now) === 0
   }
 
+  /** The less busy of two closed targets near by that have failed no more than once since they closed. */
+  suspect (candidates: readonly Registrations.Registration[], excluded: ReadonlySet<Decisions.Ids.TargetId>, now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
+    const suspects = candidates.filter(candidate => {
+      const view = this.views.of(candidate.target)
+      return !excluded.has(candidate.target) && view.avoidedUntil <= now && distanceOf(this.place, candidate) <= SUSPECT_DISTANCE &&
+        HostViews.takesOnlyTrials(view, now) && HostViews.failures(view) <= SUSPECT_FAILURES
+    })
+    return this.selection.choose(suspects.map(registration => ({ registration, cost: HostViews.busyness(this.views.of(registration.target), now) })), this.random)?.registration
+  }
+
   private takes (registration: Registrations.Registration, { careful }: Wish, now: Decisions.Clock.Milliseconds): boolean {
     const view = this.views.of(registration.target)
     return careful ? !HostViews.takesOnlyTrials(view, now) : (HostViews.closedFor(view, now) ?? 0) <= 0
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -7,6 +7,7 @@
 import * as Placements from '../../src/entry/placement.js'
 import type * as Requests from '../../src/entry/request.js'
 import * as RetryBudgets from '../../src/entry/retry-budget.js'
+import type * as HostReports from '../../src/host/host-report.js'
 import * as Works from '../../src/host/work.js'
 import * as Metrics from '../../src/observation/metrics.js'
 import type * as Routes from '../../src/routes/route.js'
@@ -22,11 +23,11 @@
 
 function dispatch (
   sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000,
-  budget = new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack }), deadline = Decisions.Clock.seconds(2)
+  budget = new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack }), deadline = Decisions.Clock.seconds(2),
+  views = new HostViews.HostViews()
 ): Dispatches.Dispatch {
   const directory = new Directories.Directory()
   for (const name of names) directory.merge(Samples.registration(name))
-  const views = new HostViews.HostViews()
   const place: Placements.Place = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
   const request: Requests.EntryRequest = {
     id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
@@ -154,3 +155,17 @@
   assert.equal((await running.answer).kind, 'not-run')
   assert.equal(sender.sent.length, 1)
 })
+
+// Found in incident inc-c687: 134 requests in 2 s were refused as late by full targets, beside targets closed for one lost answer.
+test('request refused as late is tried on a near target that has failed once', async () => {
+  const views = new HostViews.HostViews()
+  const closed = (failures: number): HostReports.HostReport => (
+    { running: 0, waiting: 0, slots: 4, closedFor: 60_000, failures, serviceTime: Decisions.Clock.milliseconds(100), version: Decisions.Ids.version(1) }
+  )
+  views.heard(Decisions.Ids.targetId('a'), closed(1), CLOCK.now())
+  views.heard(Decisions.Ids.targetId('bb'), closed(3), CLOCK.now())
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt === 1 ? Works.refused('too-late', 50) : answered(200))
+  const answer = await dispatch(sender, { repeatable: false }, NAMES, 0, undefined, undefined, views).answer
+  assert.equal(answer.kind, 'response')
+  assert.deepEqual(sender.sent.map(({ target, terms }) => [target === 'a', terms.insists]), [[false, false], [true, true]])
+})
