--- a/packages/measurements/src/commands/proxy.ts
+++ b/packages/measurements/src/commands/proxy.ts
@@ -58,7 +58,7 @@
     destinations: [{ service: Decisions.Ids.service(`service-${index % SERVICES}`), weight: 1 }]
   }))
   const limits = { headerBytes: 16_384, bodyBytes: MEGABYTE_BYTES, headerTimeout: Decisions.Clock.seconds(3), idleTimeout: Decisions.Clock.seconds(15) }
-  return new Proxy.RouteTables.RouteTable({ version: Decisions.Ids.version(1), routes, limits })
+  return new Proxy.RouteTables.RouteTable({ version: Decisions.Ids.version(1), checksum: '0', routes, limits })
 }
 
 function print (name: string, size: number, { megabytes, milliseconds }: Measured): void {
--- a/packages/proxy/src/directory/directory.ts
+++ b/packages/proxy/src/directory/directory.ts
@@ -13,6 +13,7 @@
   private readonly readyLists = new Map<Decisions.Ids.Service, readonly Registrations.Registration[]>()
   private readonly byDataCenter = new Map<Decisions.Ids.DataCenter, RegistrationsByTarget>()
   private readyTotal = 0
+  private readyRevision = 0
 
   /** Stores a registration unless a newer one of the same target is known. Returns whether it was stored. */
   merge (registration: Registrations.Registration): boolean {
@@ -69,6 +70,11 @@
     return this.readyTotal
   }
 
+  /** Changes whenever a ready target is added or removed. */
+  get revision (): number {
+    return this.readyRevision
+  }
+
   private addReady (registration: Registrations.Registration): void {
     if (registration.state !== 'ready') return
     const serviceTargets = this.byService.get(registration.service) ?? new Map<Decisions.Ids.TargetId, Registrations.Registration>()
@@ -78,6 +84,7 @@
     this.byDataCenter.set(registration.dataCenter, dataCenterTargets)
     dataCenterTargets.set(registration.target, registration)
     this.readyTotal += 1
+    this.readyRevision += 1
     this.readyLists.delete(registration.service)
   }
 
@@ -85,6 +92,7 @@
     if (this.byService.get(registration.service)?.delete(registration.target) !== true) return
     this.byDataCenter.get(registration.dataCenter)?.delete(registration.target)
     this.readyTotal -= 1
+    this.readyRevision += 1
     this.readyLists.delete(registration.service)
   }
 }
--- a/packages/proxy/src/routes/route.ts
+++ b/packages/proxy/src/routes/route.ts
@@ -37,6 +37,8 @@
 
 export interface RouteConfiguration {
   readonly version: Decisions.Ids.Version
+  /** Digest of the published record, by which operators compare what is in force on different nodes. */
+  readonly checksum: string
   readonly routes: readonly Route[]
   readonly limits: CallerLimits
 }
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -6,7 +6,7 @@
 import type * as Logs from './observation/log.js'
 import type * as Settings from './settings.js'
 import type * as ConfigurationStates from './state/configuration-state.js'
-import * as StateTransfers from './state/state-transfer.js'
+import * as NodeRpcs from './transport/node-rpc.js'
 
 /** Longer than the idle timeout of the connecting node, so that the connecting node closes first. */
 const NODE_IDLE_TIMEOUT_MS = 60_000
@@ -24,7 +24,7 @@
   readonly log: Logs.Log
   readonly gateway: Gateways.Gateway
   readonly hostServer: HostServers.HostServer
-  readonly stateTransfer: StateTransfers.StateTransfer
+  readonly nodeRpc: NodeRpcs.NodeRpc
   readonly configuration: ConfigurationStates.ConfigurationState
 }
 
@@ -70,10 +70,10 @@
   }
 
   private createNodeServer (): Http.Server {
-    const { hostServer, stateTransfer, log } = this.dependencies
+    const { hostServer, nodeRpc, log } = this.dependencies
     const server = Http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, keepAliveTimeout: NODE_IDLE_TIMEOUT_MS, headersTimeout: 0, requestTimeout: 0 })
     server.on('request', (request, response) => {
-      const handled = request.url === StateTransfers.PATH ? stateTransfer.serve(request, response) : hostServer.handle(request, response)
+      const handled = request.url === NodeRpcs.PATH ? nodeRpc.serve(request, response) : hostServer.handle(request, response)
       handled.catch((error: unknown) => { abortResponse(log, response, error) })
     })
     return server
--- /dev/null
+++ b/packages/proxy/src/state/relay-selector.ts
@@ -0,0 +1,89 @@
+/**
+ * Selects the relay of a group of nodes: the node that reads the shared log for the others, so that the calls to the log
+ * do not grow with the number of nodes. Nothing is agreed on: each node decides from what it hears, so two relays, or
+ * none for a moment, are possible and only cost calls to the log.
+ *
+ * Load pattern: hundreds of nodes that wait for the same few changes.
+ */
+import * as Decisions from '@jasminedale/decisions'
+import type * as SharedLogs from './shared-log.js'
+
+/** With fewer nodes in a data center, each reads the log itself: a relay would save nothing, since it reads more often. */
+const GROUP_MINIMUM = 10
+/** Data centers with twice this number of nodes are divided into groups, which bounds the work of a relay. */
+const GROUP_SIZE = 32
+/** Time since the last contact of a relay with the log after which its group no longer relies on it. */
+export const CONTACT_AGE_MAXIMUM = Decisions.Clock.milliseconds(1_500)
+/** Time for which a relay that is silent, or cannot be called, is passed over. */
+const SUSPICION_DURATION = Decisions.Clock.seconds(10)
+
+/** Offset after the last record that a node has read, by topic. */
+export type Offsets = Readonly<Record<SharedLogs.Topic, number>>
+
+export interface Relay {
+  readonly host: Decisions.Ids.Endpoint
+  readonly offsets: Offsets
+  /** When the relay was last in contact with the log. */
+  readonly contactAt: Decisions.Clock.Milliseconds
+}
+
+/** The nodes that share one relay with `own`, in the order in which they become the relay; empty if there are too few. */
+export function groupOf (own: Decisions.Ids.Endpoint, hosts: readonly Decisions.Ids.Endpoint[]): readonly Decisions.Ids.Endpoint[] {
+  if (hosts.length < GROUP_MINIMUM) return []
+  // A power of two, so that most nodes keep their group when the number of nodes changes.
+  const groups = 2 ** Math.max(0, Math.floor(Math.log2(hosts.length / GROUP_SIZE)))
+  const group = Decisions.Rendezvous.hash(own) % groups
+  return Decisions.Rendezvous.rank('relay', hosts.filter(host => Decisions.Rendezvous.hash(host) % groups === group))
+}
+
+export class RelaySelector {
+  private readonly relays = new Map<Decisions.Ids.Endpoint, Relay>()
+  private readonly suspectedUntil = new Map<Decisions.Ids.Endpoint, Decisions.Clock.Milliseconds>()
+  /** The node that should be the relay and has not been heard yet, and since when. */
+  private awaited: { readonly host: Decisions.Ids.Endpoint, readonly since: Decisions.Clock.Milliseconds } | undefined
+
+  constructor (private readonly own: Decisions.Ids.Endpoint) {}
+
+  /** Records what a relay has announced. */
+  recordAnnouncement (relay: Relay): void {
+    this.relays.set(relay.host, relay)
+    this.suspectedUntil.delete(relay.host)
+  }
+
+  /** Records that a relay could not be called. */
+  recordFailure (host: Decisions.Ids.Endpoint, now: Decisions.Clock.Milliseconds): void {
+    this.relays.delete(host)
+    this.suspectedUntil.set(host, Decisions.Clock.add(now, SUSPICION_DURATION))
+  }
+
+  /** The first other node of the group that acts as relay and is in contact with the log. */
+  activeRelay (group: readonly Decisions.Ids.Endpoint[], now: Decisions.Clock.Milliseconds): Relay | undefined {
+    for (const host of group) {
+      const relay = this.relays.get(host)
+      if (relay !== undefined && host !== this.own && now - relay.contactAt <= CONTACT_AGE_MAXIMUM) return relay
+    }
+    return undefined
+  }
+
+  /** Whether this node is to act as relay: it is the first of the group, or those before it are suspected to have failed. */
+  isRelay (group: readonly Decisions.Ids.Endpoint[], now: Decisions.Clock.Milliseconds): boolean {
+    for (const host of group) {
+      if (host === this.own) return true
+      if ((this.suspectedUntil.get(host) ?? 0) > now) continue
+      if (!this.isOverdue(host, now)) return false
+      this.recordFailure(host, now)
+    }
+    return false
+  }
+
+  /** Whether a node that should be the relay has been silent, or without contact, for too long. */
+  private isOverdue (host: Decisions.Ids.Endpoint, now: Decisions.Clock.Milliseconds): boolean {
+    const contactAt = this.relays.get(host)?.contactAt
+    if (contactAt !== undefined && now - contactAt <= CONTACT_AGE_MAXIMUM) {
+      this.awaited = undefined
+      return false
+    }
+    if (this.awaited?.host !== host) this.awaited = { host, since: now }
+    return now - this.awaited.since > CONTACT_AGE_MAXIMUM
+  }
+}
--- /dev/null
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -0,0 +1,206 @@
+/** The shared log as read through the relay of this node's group, or directly while there is none. Writes go to the log itself. */
+import * as Decisions from '@jasminedale/decisions'
+import * as neverthrow from 'neverthrow'
+import * as zod from 'zod'
+import type * as Directories from '../directory/directory.js'
+import type * as Logs from '../observation/log.js'
+import type * as Settings from '../settings.js'
+import type * as NodeChannels from '../transport/node-channel.js'
+import type * as NodeRpcs from '../transport/node-rpc.js'
+import * as RecordBuffers from './record-buffer.js'
+import * as RelaySelectors from './relay-selector.js'
+import * as SharedLogs from './shared-log.js'
+
+const ANNOUNCEMENT_METHOD = 'relay'
+const READ_METHOD = 'records'
+/** Three announcements fit into the time after which a relay counts as failed, since datagrams get lost. */
+const ANNOUNCEMENT_INTERVAL_MS = 300
+/** A relay without contact for this long sends no announcements. */
+const ANNOUNCED_CONTACT_AGE_MAXIMUM_MS = 1_000
+/** Long polling of a relay. Short, since an answer is also the proof of its contact with the log. */
+const RELAY_POLL_TIMEOUT: Readonly<Record<SharedLogs.Topic, Decisions.Clock.Milliseconds>> = {
+  configuration: Decisions.Clock.milliseconds(600), targets: Decisions.Clock.seconds(2)
+}
+const DIRECT_READ_TIMEOUT = Decisions.Clock.milliseconds(0)
+
+/** Address of the relay, its offsets by topic, and the age in ms of its last contact with the log. */
+const announcementSchema = zod.tuple([zod.string(), zod.number(), zod.number(), zod.number().nonnegative()])
+const readParamsSchema = zod.object({ topic: zod.enum(['configuration', 'targets']), from: zod.number() })
+/** Records with their values in base64; no batch if the relay does not hold all records. */
+const readResultSchema = zod.object({
+  batch: zod.object({ records: zod.array(zod.object({ key: zod.string(), value: zod.string().optional() })), nextOffset: zod.number() }).optional()
+})
+
+export interface RelayedLogDependencies {
+  /** The shared log itself. */
+  readonly store: SharedLogs.SharedLog
+  readonly settings: Pick<Settings.ProxySettings, 'location'>
+  readonly clock: Decisions.Clock.Clock
+  readonly log: Logs.Log
+  readonly directory: Directories.Directory
+  readonly nodeChannel: Pick<NodeChannels.NodeChannel, 'handle' | 'notify'>
+  readonly nodeRpc: Pick<NodeRpcs.NodeRpc, 'addMethod' | 'call'>
+}
+
+export class RelayedLog extends SharedLogs.SharedLog {
+  private readonly dependencies: RelayedLogDependencies
+  private readonly selector: RelaySelectors.RelaySelector
+  private readonly buffers: Readonly<Record<SharedLogs.Topic, RecordBuffers.RecordBuffer>> = {
+    configuration: new RecordBuffers.RecordBuffer(), targets: new RecordBuffers.RecordBuffer()
+  }
+
+  private group: readonly Decisions.Ids.Endpoint[] = []
+  private groupRevision = -1
+  private contactAt = Decisions.Clock.milliseconds(-Infinity)
+  private timer: NodeJS.Timeout | undefined
+  private wakeUps: (() => void)[] = []
+  private source = ''
+  private isClosed = false
+
+  constructor (dependencies: RelayedLogDependencies) {
+    super()
+    this.dependencies = dependencies
+    this.selector = new RelaySelectors.RelaySelector(dependencies.settings.location.host)
+    dependencies.nodeChannel.handle(ANNOUNCEMENT_METHOD, params => this.receiveAnnouncement(params))
+    dependencies.nodeRpc.addMethod(READ_METHOD, params => this.serveRecords(params))
+  }
+
+  start (): void {
+    this.timer = setInterval(() => { this.update() }, ANNOUNCEMENT_INTERVAL_MS)
+  }
+
+  async readNewest (topic: SharedLogs.Topic): SharedLogs.LogResult<SharedLogs.Batch> {
+    const read = await this.dependencies.store.readNewest(topic)
+    if (read.isOk()) {
+      this.buffers[topic].reset(read.value.nextOffset)
+      this.recordContact(topic)
+    }
+    return read
+  }
+
+  async readFrom (topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+    const { clock } = this.dependencies
+    const deadline = Decisions.Clock.add(clock.now(), wait)
+    while (!this.isClosed) {
+      const relay = this.activeRelay()
+      if (relay === undefined) return await this.readStore(topic, offset, this.isRelay() ? RELAY_POLL_TIMEOUT[topic] : wait)
+      if (relay.offsets[topic] > offset) return await this.readRelay(relay.host, topic, offset)
+      if (clock.now() >= deadline) return neverthrow.ok({ records: [], nextOffset: offset })
+      await new Promise<void>(resolve => { this.wakeUps.push(resolve) })
+    }
+    return neverthrow.err({ kind: 'no-answer', detail: 'the log was closed' })
+  }
+
+  async put (topic: SharedLogs.Topic, record: SharedLogs.KeyedRecord): SharedLogs.LogResult<undefined> {
+    return await this.dependencies.store.put(topic, record)
+  }
+
+  close (): void {
+    this.isClosed = true
+    clearInterval(this.timer)
+    this.wakeReaders()
+    this.dependencies.store.close()
+  }
+
+  private async readStore (topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+    const read = await this.dependencies.store.readFrom(topic, offset, wait)
+    if (read.isErr()) return read
+    this.buffers[topic].append(read.value)
+    this.recordContact(topic)
+    if (read.value.records.length > 0 && this.isRelay()) this.announce()
+    return read
+  }
+
+  /** Reads from the relay, or from the log if the relay does not answer or no longer holds all records. */
+  private async readRelay (relay: Decisions.Ids.Endpoint, topic: SharedLogs.Topic, offset: number): SharedLogs.LogResult<SharedLogs.Batch> {
+    const { clock, log, nodeRpc } = this.dependencies
+    const reply = await nodeRpc.call(relay, READ_METHOD, { topic, from: offset })
+    const result = reply.andThen(value => parseReadResult(value))
+    if (result.isErr()) {
+      this.selector.recordFailure(relay, clock.now())
+      log.info('relay cannot be read; reading the shared log', { relay, topic, offset, error: result.error.detail })
+      return await this.readStore(topic, offset, DIRECT_READ_TIMEOUT)
+    }
+    if (result.value.batch === undefined) return await this.readStore(topic, offset, DIRECT_READ_TIMEOUT)
+    const { records, nextOffset } = result.value.batch
+    const batch = { nextOffset, records: records.map(({ key, value }) => value === undefined ? { key } : { key, value: Buffer.from(value, 'base64') }) }
+    this.buffers[topic].append(batch)
+    return neverthrow.ok(batch)
+  }
+
+  private serveRecords (params: unknown): zod.infer<typeof readResultSchema> {
+    const { topic, from } = readParamsSchema.parse(params)
+    const batch = this.buffers[topic].readFrom(from)
+    if (batch === undefined) return {}
+    return { batch: { nextOffset: batch.nextOffset, records: batch.records.map(({ key, value }) => value === undefined ? { key } : { key, value: value.toString('base64') }) } }
+  }
+
+  /** The topic `configuration` is read most often, so its answers show the contact with the log. */
+  private recordContact (topic: SharedLogs.Topic): void {
+    if (topic === 'configuration') this.contactAt = this.dependencies.clock.now()
+  }
+
+  /** Announces this node if it is the relay, and repeats the choice of the source. Called in the interval of announcements. */
+  update (): void {
+    if (this.isRelay()) this.announce()
+    this.logSource()
+    this.wakeReaders()
+  }
+
+  private wakeReaders (): void {
+    const wakeUps = this.wakeUps
+    this.wakeUps = []
+    for (const wakeUp of wakeUps) wakeUp()
+  }
+
+  private activeRelay (): RelaySelectors.Relay | undefined {
+    return this.selector.activeRelay(this.currentGroup(), this.dependencies.clock.now())
+  }
+
+  private isRelay (): boolean {
+    return this.selector.isRelay(this.currentGroup(), this.dependencies.clock.now())
+  }
+
+  private currentGroup (): readonly Decisions.Ids.Endpoint[] {
+    const { directory, settings: { location } } = this.dependencies
+    if (directory.revision !== this.groupRevision) {
+      this.groupRevision = directory.revision
+      this.group = RelaySelectors.groupOf(location.host, directory.readyTargetsInDataCenter(location.dataCenter).map(({ host }) => host))
+    }
+    return this.group
+  }
+
+  private announce (): void {
+    const { clock, nodeChannel, settings: { location } } = this.dependencies
+    const contactAge = clock.now() - this.contactAt
+    const { configuration, targets } = this.buffers
+    if (contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || configuration.nextOffset === undefined || targets.nextOffset === undefined) return
+    const params = [location.host, configuration.nextOffset, targets.nextOffset, Math.ceil(contactAge)]
+    nodeChannel.notify(ANNOUNCEMENT_METHOD, params, this.currentGroup().filter(host => host !== location.host))
+  }
+
+  private receiveAnnouncement (params: readonly unknown[]): boolean {
+    const read = announcementSchema.safeParse(params)
+    if (!read.success) return false
+    const [host, configuration, targets, contactAge] = read.data
+    const contactAt = Decisions.Clock.milliseconds(this.dependencies.clock.now() - contactAge)
+    this.selector.recordAnnouncement({ host: Decisions.Ids.endpoint(host), offsets: { configuration, targets }, contactAt })
+    this.wakeReaders()
+    return true
+  }
+
+  /** Logs from where this node reads the log, when that changes. */
+  private logSource (): void {
+    const { log, clock } = this.dependencies
+    const relay = this.activeRelay()
+    const source = relay?.host ?? (this.isRelay() ? 'as relay' : 'direct')
+    if (source === this.source) return
+    log.info('source of the shared log changed', { source, before: this.source, group: this.group.length, contactAge: relay === undefined ? undefined : Math.round(clock.now() - relay.contactAt) })
+    this.source = source
+  }
+}
+
+function parseReadResult (value: unknown): neverthrow.Result<zod.infer<typeof readResultSchema>, NodeRpcs.CallFailure> {
+  const result = readResultSchema.safeParse(value)
+  return result.success ? neverthrow.ok(result.data) : neverthrow.err({ kind: 'call-failed', detail: result.error.message })
+}
--- a/packages/proxy/tests/host/report-channel.test.ts
+++ b/packages/proxy/tests/host/report-channel.test.ts
@@ -8,6 +8,7 @@
 import * as ReportChannels from '../../src/host/report-channel.js'
 import * as Logs from '../../src/observation/log.js'
 import type * as Settings from '../../src/settings.js'
+import * as NodeChannels from '../../src/transport/node-channel.js'
 import * as Samples from '../support/samples.js'
 
 const TARGET = Decisions.Ids.targetId('t1')
@@ -24,7 +25,8 @@
 }
 
 interface TestNode {
-  readonly channel: ReportChannels.ReportChannel
+  readonly channel: NodeChannels.NodeChannel
+  readonly reports: ReportChannels.ReportChannel
   readonly views: HostViews.HostViews
 }
 
@@ -38,7 +40,8 @@
     location: { host: Decisions.Ids.endpoint(`${address}:1`), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') },
     retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 10 }, shutdownTimeout: Decisions.Clock.seconds(6), reportPort
   }
-  return { views, channel: new ReportChannels.ReportChannel({ settings, directory, views, clock: new Decisions.Clock.VirtualClock(), log: new Logs.SilentLog() }) }
+  const channel = new NodeChannels.NodeChannel({ settings, log: new Logs.SilentLog() })
+  return { views, channel, reports: new ReportChannels.ReportChannel({ settings, directory, views, clock: new Decisions.Clock.VirtualClock(), nodeChannel: channel }) }
 }
 
 // Guards against entry nodes that learn of a tripped circuit breaker only from refusals of their own requests.
@@ -48,7 +51,7 @@
   await Promise.all([from.channel.open(), to.channel.open()])
   // Datagrams may be lost, also on loopback.
   while (to.views.of(TARGET).report === undefined) {
-    from.channel.broadcast(TARGET, REPORT)
+    from.reports.broadcast(TARGET, REPORT)
     await new Promise(resolve => setTimeout(resolve, 5))
   }
   assert.deepEqual(to.views.of(TARGET).report, REPORT)
@@ -56,7 +59,7 @@
   from.channel.close()
   to.channel.close()
   from.channel.close()
-  assert.doesNotThrow(() => { from.channel.broadcast(TARGET, REPORT) }, 'requests may end after the channel is closed')
+  assert.doesNotThrow(() => { from.reports.broadcast(TARGET, REPORT) }, 'requests may end after the channel is closed')
 })
 
 // Guards against a process that crashes, or records a wrong state, because of a malformed datagram.
--- /dev/null
+++ b/packages/proxy/tests/state/relayed-log.test.ts
@@ -0,0 +1,165 @@
+import * as assert from 'node:assert/strict'
+import { test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as neverthrow from 'neverthrow'
+import * as Directories from '../../src/directory/directory.js'
+import * as Logs from '../../src/observation/log.js'
+import * as RelayedLogs from '../../src/state/relayed-log.js'
+import * as SharedLogs from '../../src/state/shared-log.js'
+import type * as NodeChannels from '../../src/transport/node-channel.js'
+import type * as NodeRpcs from '../../src/transport/node-rpc.js'
+import * as Samples from '../support/samples.js'
+
+const NODES = 12
+const WAIT = Decisions.Clock.seconds(6)
+/** Steps of the event loop that are enough for all reactions to a change. */
+const SETTLE_STEPS = 20
+
+/** Shared log in memory that counts the reads of each node. Reads without new records end only when `expire` is called. */
+class MemoryLog extends SharedLogs.SharedLog {
+  reads = 0
+
+  constructor (private readonly stored: SharedLogs.KeyedRecord[], private readonly waiting: (() => void)[]) {
+    super()
+  }
+
+  override readNewest (): SharedLogs.LogResult<SharedLogs.Batch> {
+    this.reads += 1
+    return Promise.resolve(neverthrow.ok({ records: [...this.stored], nextOffset: this.stored.length }))
+  }
+
+  override async readFrom (_topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+    this.reads += 1
+    if (this.stored.length <= offset && wait > 0) await new Promise<void>(resolve => { this.waiting.push(resolve) })
+    return neverthrow.ok({ records: this.stored.slice(offset), nextOffset: this.stored.length })
+  }
+
+  override put (): SharedLogs.LogResult<undefined> {
+    return Promise.resolve(neverthrow.ok(undefined))
+  }
+
+  override close (): void { /* Nothing is open. */ }
+}
+
+interface Member { readonly log: RelayedLogs.RelayedLog, readonly store: MemoryLog, readonly host: Decisions.Ids.Endpoint, applied: number }
+
+/** Nodes of one data center that follow topic `configuration`, on a network in memory and virtual time. */
+class Group {
+  readonly members: Member[] = []
+  readonly stored: SharedLogs.KeyedRecord[] = [{ key: 'config', value: Buffer.from('1') }]
+  readonly waiting: (() => void)[] = []
+  /** Nodes that neither send nor answer anything. */
+  readonly silent = new Set<Decisions.Ids.Endpoint>()
+  readonly clock = new Decisions.Clock.VirtualClock()
+  private readonly handlers = new Map<string, NodeChannels.NotificationHandler>()
+  private readonly methods = new Map<string, (params: unknown) => unknown>()
+
+  constructor () {
+    for (let index = 0; index < NODES; index += 1) this.members.push(this.createMember(Decisions.Ids.endpoint(`10.0.0.${index}:80`)))
+  }
+
+  private createMember (host: Decisions.Ids.Endpoint): Member {
+    const directory = new Directories.Directory()
+    for (let index = 0; index < NODES; index += 1) directory.merge(Samples.registration(`t${index}`, { host: Decisions.Ids.endpoint(`10.0.0.${index}:80`) }))
+    const store = new MemoryLog(this.stored, this.waiting)
+    const log = new RelayedLogs.RelayedLog({
+      store, directory, clock: this.clock, log: new Logs.SilentLog(), settings: { location: { host, dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') } },
+      nodeChannel: {
+        handle: (method, handler) => { this.handlers.set(`${host} ${method}`, handler) },
+        notify: (method, params, hosts) => {
+          for (const other of hosts) if (!this.silent.has(host) && !this.silent.has(other)) this.handlers.get(`${other} ${method}`)?.(params)
+        }
+      },
+      nodeRpc: {
+        addMethod: (method, handler) => { this.methods.set(`${host} ${method}`, handler) },
+        call: (address, method, params): Promise<neverthrow.Result<unknown, NodeRpcs.CallFailure>> => Promise.resolve(this.silent.has(address)
+          ? neverthrow.err({ kind: 'call-failed', detail: 'silent' })
+          : neverthrow.ok(this.methods.get(`${address} ${method}`)?.(params)))
+      }
+    })
+    return { log, store, host, applied: 0 }
+  }
+
+  async follow (member: Member): Promise<void> {
+    const read = await member.log.readNewest('configuration')
+    await member.log.readNewest('targets')
+    for (member.applied = read._unsafeUnwrap().nextOffset; ;) {
+      const batch = await member.log.readFrom('configuration', member.applied, WAIT)
+      if (batch.isErr()) return
+      member.applied = batch.value.nextOffset
+    }
+  }
+
+  /** Advances the clock in the interval at which nodes announce themselves; ends the reads that wait at the log every other step. */
+  async advance (milliseconds: number): Promise<void> {
+    for (let elapsed = 0; elapsed < milliseconds; elapsed += 300) {
+      this.clock.advance(Decisions.Clock.milliseconds(300))
+      if (elapsed % 600 === 0) this.expire()
+      await this.settle()
+      for (const { log } of this.members) log.update()
+      await this.settle()
+    }
+  }
+
+  async publish (value: string): Promise<void> {
+    this.stored.push({ key: 'config', value: Buffer.from(value) })
+    this.expire()
+    await this.settle()
+  }
+
+  totalReads (): number {
+    return this.members.reduce((sum, { store }) => sum + store.reads, 0)
+  }
+
+  private expire (): void {
+    for (const resolve of this.waiting.splice(0)) resolve()
+  }
+
+  private async settle (): Promise<void> {
+    for (let step = 0; step < SETTLE_STEPS; step += 1) await new Promise(resolve => setImmediate(resolve))
+  }
+}
+
+async function startGroup (): Promise<Group> {
+  const group = new Group()
+  for (const member of group.members) void group.follow(member)
+  await group.advance(6_000)
+  return group
+}
+
+function relayOf (group: Group): Member {
+  return group.members.reduce((most, member) => member.store.reads > most.store.reads ? member : most)
+}
+
+// Guards against calls to the log that grow with the number of nodes: hundreds of nodes wait for the same changes.
+test('one node of the group reads the log', async () => {
+  const group = await startGroup()
+  const before = group.totalReads()
+  await group.publish('2')
+  await group.advance(3_000)
+  assert.ok(group.members.every(({ applied }) => applied === 2))
+  assert.ok(group.totalReads() - before <= 8, `${group.totalReads() - before} reads`)
+  for (const { log } of group.members) log.close()
+})
+
+// Guards against nodes that miss a configuration because their relay is frozen or cut off while they can reach the log.
+test('nodes read the log themselves soon after their relay fell silent', async () => {
+  const group = await startGroup()
+  const failed = relayOf(group)
+  group.silent.add(failed.host)
+  group.stored.push({ key: 'config', value: Buffer.from('2') })
+  await group.advance(1_800)
+  assert.ok(group.members.every(({ applied, host }) => applied === 2 || host === failed.host))
+  for (const { log } of group.members) log.close()
+})
+
+// Guards against a large configuration that delays a relay with a slow link.
+test('large record is read from the log', async () => {
+  const group = await startGroup()
+  const before = group.members.map(({ store }) => store.reads)
+  await group.publish('x'.repeat(10_000))
+  await group.advance(1_000)
+  assert.ok(group.members.every(({ applied }) => applied === 2))
+  assert.ok(group.members.every(({ store }, index) => store.reads > (before[index] ?? 0)))
+  for (const { log } of group.members) log.close()
+})
--- a/packages/proxy/tests/support/samples.ts
+++ b/packages/proxy/tests/support/samples.ts
@@ -14,7 +14,7 @@
 
 export function configuration (overrides: Partial<Routes.RouteConfiguration>): Routes.RouteConfiguration {
   return {
-    version: Decisions.Ids.version(1), routes: [route({})],
+    version: Decisions.Ids.version(1), checksum: '0', routes: [route({})],
     limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeout: Decisions.Clock.seconds(3), idleTimeout: Decisions.Clock.seconds(15) }, ...overrides
   }
 }
