--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -4,6 +4,7 @@
 import type * as Registrations from '../directory/registration.js'
 import type * as HostedRequests from '../host/hosted-request.js'
 import type * as Metrics from '../observation/metrics.js'
+import type * as Quarantines from '../quarantine/quarantine.js'
 import type * as Answers from './answer.js'
 import * as HostViews from './host-views.js'
 import type * as TargetSelectors from './target-selector.js'
@@ -19,6 +20,7 @@
   readonly retryBudget: RetryBudgets.RetryBudget
   readonly sender: Pick<Senders.Sender, 'send'>
   readonly metrics: Metrics.Metrics
+  readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock'>
 }
 
 /** An attempt as it appears in the log. */
@@ -236,7 +238,8 @@
     this.lastRefusal = { kind: 'not-run', reason, retryAfter }
     if (reason === 'target-closed') this.trippedRefusals += 1
     if (reason === 'too-late') this.lateRefusals += 1
-    const isFutile = this.isExpired || this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM
+    if (reason === 'request-blocked') this.dependencies.quarantine.recordBlock(this.request, retryAfter)
+    const isFutile = this.isExpired || reason === 'request-blocked' || this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM
     if (isFutile || !this.mayExecute()) this.giveUp(this.lastRefusal)
     else if (this.unconfirmed().length === 0) this.startAttempt()
   }
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -6,6 +6,7 @@
 import type * as Hosts from '../host/host.js'
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
+import type * as Quarantines from '../quarantine/quarantine.js'
 import type * as Routes from '../routes/route.js'
 import * as RouteTables from '../routes/route-table.js'
 import type * as Settings from '../settings.js'
@@ -38,6 +39,7 @@
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly random: Decisions.Random.Random
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
+  readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock' | 'blockedFor'>
   readonly settings: Pick<Settings.ProxySettings, 'service'>
 }
 
@@ -96,22 +98,34 @@
       else this.dependencies.log.info('caller left before its request was complete', { request: inbound.id, route: route.name })
       return
     }
+    await this.admit(inbound, route, body.value, callerMetadata.remaining ?? DEADLINE_DEFAULT)
+  }
+
+  /** Dispatches a request that was read completely. `callerTimeout` is the time for which the caller waits. */
+  private async admit (inbound: InboundRequest, route: Routes.Route, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+    const { request, arrivedAt, id } = inbound
+    const [method, path] = [request.method ?? 'GET', request.url ?? '']
+    const blockedFor = this.dependencies.quarantine.blockedFor({ method, path, body })
+    if (blockedFor !== undefined) {
+      this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'request-blocked', retryAfter: blockedFor })
+      return
+    }
     const service = RouteTables.chooseDestination(route, this.dependencies.random)
     if (service === undefined) {
       this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'no-target', retryAfter: STARTING_RETRY_AFTER_MS })
       return
     }
-    const remaining = Math.min(callerMetadata.remaining ?? DEADLINE_DEFAULT, route.timeout)
+    const remaining = Math.min(callerTimeout, route.timeout)
     await this.dispatch(inbound, {
-      id: inbound.id,
-      method: request.method ?? 'GET',
+      id,
+      method,
       path,
       headers: Headers.endToEndFields(request.rawHeaders, this.reservedFields),
-      body: body.value,
+      body,
       route,
       service,
-      arrivedAt: inbound.arrivedAt,
-      deadline: Decisions.Clock.add(inbound.arrivedAt, Decisions.Clock.milliseconds(remaining))
+      arrivedAt,
+      deadline: Decisions.Clock.add(arrivedAt, Decisions.Clock.milliseconds(remaining))
     })
   }
 
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -2,10 +2,12 @@
 import * as Decisions from '@jasminedale/decisions'
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
+import type * as Quarantines from '../quarantine/quarantine.js'
 import * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
 import * as Headers from '../transport/headers.js'
+import * as Reachability from '../transport/reachability.js'
 import * as Forwarding from './forwarding.js'
 import * as CircuitBreakers from './circuit-breaker.js'
 import type * as HostReports from './host-report.js'
@@ -36,6 +38,7 @@
   readonly log: Logs.Log
   readonly metrics: Metrics.Metrics
   readonly localTarget: LocalTargets.LocalTarget
+  readonly quarantine: Pick<Quarantines.Quarantine, 'blockedFor' | 'recordCrash' | 'recordCompletion'>
   /** Address of the local target. */
   readonly targetAddress: Decisions.Ids.Endpoint
   /** Configuration version in force. */
@@ -158,7 +161,7 @@
   private async runInSlot (request: HostedRequests.HostedRequest, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
     const body = await request.commit()
     // The target may have left or failed while the request was in the queue or waited for the confirmation.
-    const refusal = this.checkAvailability(request) ?? (admission === 'pass' ? this.checkBreaker(request) : undefined)
+    const refusal = this.checkAvailability(request) ?? (admission === 'pass' ? this.checkBreaker(request) : undefined) ?? this.checkQuarantine(request, body)
     if (body === undefined || refusal !== undefined) {
       this.circuitBreaker.recordInconclusive(admission)
       return this.reportRefusal(request, refusal ?? HostedRequests.refusal('too-late', BUSY_RETRY_AFTER_MS))
@@ -175,6 +178,7 @@
     clearTimeout(silenceTimer)
     const elapsed = Decisions.Clock.between(startedAt, this.dependencies.clock.now())
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
+    this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
     this.recordOutcome(request, outcome, admission, elapsed)
     return outcome
   }
@@ -185,6 +189,24 @@
     return timeUntilProbe === undefined || request.mayBeProbe || request.mayBypassBreaker ? undefined : HostedRequests.refusal('target-closed', timeUntilProbe)
   }
 
+  /** The refusal if the request is known to crash the targets that run it. */
+  private checkQuarantine ({ method, path }: HostedRequests.HostedRequest, body: Buffer | undefined): HostedRequests.Outcome | undefined {
+    const blockedFor = body === undefined ? undefined : this.dependencies.quarantine.blockedFor({ method, path, body })
+    return blockedFor === undefined ? undefined : HostedRequests.refusal('request-blocked', blockedFor)
+  }
+
+  private updateQuarantine (content: Quarantines.RequestContent, outcome: HostedRequests.Outcome, startedAt: Decisions.Clock.Milliseconds): void {
+    const { quarantine } = this.dependencies
+    if (outcome.kind === 'answered') quarantine.recordCompletion(content)
+    if (outcome.kind === 'failed' && outcome.reason === 'connection-lost') void this.recordCrash(content, startedAt)
+  }
+
+  /** A target that still accepts connections has only broken off its response. */
+  private async recordCrash (content: Quarantines.RequestContent, startedAt: Decisions.Clock.Milliseconds): Promise<void> {
+    const { targetAddress, quarantine } = this.dependencies
+    if (!await Reachability.accepts(targetAddress)) quarantine.recordCrash(content, startedAt)
+  }
+
   private send (request: HostedRequests.HostedRequest, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
     const remaining = Decisions.Clock.between(now, request.deadline)
     const { dialect, targetAddress } = this.dependencies
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -14,21 +14,26 @@
 import * as Membership from './membership.js'
 import type * as Logs from './observation/log.js'
 import type * as Metrics from './observation/metrics.js'
+import * as Quarantines from './quarantine/quarantine.js'
 import * as Servers from './servers.js'
 import type * as Settings from './settings.js'
 import * as ConfigurationStates from './state/configuration-state.js'
-import * as StateTransfers from './state/state-transfer.js'
 import * as Registrars from './state/registrar.js'
+import * as RelayedLogs from './state/relayed-log.js'
 import type * as SharedLogs from './state/shared-log.js'
+import * as StateTransfers from './state/state-transfer.js'
 import * as Synchronizers from './state/synchronizer.js'
 import * as ConnectionPools from './transport/connection-pool.js'
 import type * as Dialects from './transport/dialect.js'
+import * as NodeChannels from './transport/node-channel.js'
+import * as NodeRpcs from './transport/node-rpc.js'
 
 /** Dependencies that the adapter of a deployment provides. */
 export interface ProxyDependencies {
   readonly settings: Settings.ProxySettings
   readonly dialect: Dialects.Dialect
-  readonly sharedLog: SharedLogs.SharedLog
+  /** The shared log itself; nodes of a large data center read it through a relay. */
+  readonly store: SharedLogs.SharedLog
   readonly readConfiguration: Synchronizers.ConfigurationReader
   readonly log: Logs.Log
   readonly clock: Decisions.Clock.Clock
@@ -43,6 +48,10 @@
   readonly localTarget: LocalTargets.LocalTarget
   readonly views: HostViews.HostViews
   readonly connections: ConnectionPools.ConnectionPool
+  readonly nodeChannel: NodeChannels.NodeChannel
+  readonly nodeRpc: NodeRpcs.NodeRpc
+  readonly sharedLog: RelayedLogs.RelayedLog
+  readonly quarantine: Quarantines.Quarantine
   readonly host: Hosts.Host
   readonly reportChannel: ReportChannels.ReportChannel
   readonly hostServer: HostServers.HostServer
@@ -74,8 +83,9 @@
   }
 
   async start (): Promise<void> {
-    const { servers, reportChannel, synchronizer, log, settings } = this.components
-    await Promise.all([servers.open(), reportChannel.open()])
+    const { servers, nodeChannel, sharedLog, synchronizer, log, settings } = this.components
+    await Promise.all([servers.open(), nodeChannel.open()])
+    sharedLog.start()
     synchronizer.start()
     log.info('node started', { service: settings.service, dataCenter: settings.location.dataCenter, region: settings.location.region, host: settings.location.host })
   }
@@ -122,12 +132,12 @@
 
   /** Closes the node at once and aborts all requests in flight. */
   close (): void {
-    const { servers, reportChannel, synchronizer, sharedLog, registrar, connections } = this.components
+    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections } = this.components
     synchronizer.stop()
     registrar.stop()
     sharedLog.close()
     servers.close()
-    reportChannel.close()
+    nodeChannel.close()
     connections.destroy()
   }
 }
@@ -139,21 +149,19 @@
 function wire (dependencies: ProxyDependencies): Cradle {
   const container = Awilix.createContainer<Cradle>({ strict: true })
   container.register({
-    settings: Awilix.asValue(dependencies.settings),
-    dialect: Awilix.asValue(dependencies.dialect),
-    sharedLog: Awilix.asValue(dependencies.sharedLog),
-    readConfiguration: Awilix.asValue(dependencies.readConfiguration),
-    log: Awilix.asValue(dependencies.log),
-    clock: Awilix.asValue(dependencies.clock),
-    metrics: Awilix.asValue(dependencies.metrics),
-    random: Awilix.asFunction(({ settings }: Cradle) => new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))).singleton(),
+    ...asValues(dependencies),
+    random: Awilix.asFunction(createRandom).singleton(),
     directory: Awilix.asClass(Directories.Directory).singleton(),
     configuration: Awilix.asClass(ConfigurationStates.ConfigurationState).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
     connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
+    nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
+    nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
+    sharedLog: Awilix.asClass(RelayedLogs.RelayedLog).singleton(),
+    quarantine: Awilix.asClass(Quarantines.Quarantine).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
-      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget,
+      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine,
       targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
       onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) }
     })).singleton(),
@@ -172,5 +180,15 @@
     membership: Awilix.asClass(Membership.Membership).singleton(),
     servers: Awilix.asClass(Servers.Servers).singleton()
   })
+  // Components register their handlers when they are constructed, and the container constructs them on first use.
+  for (const name of Object.keys(container.registrations)) container.resolve(name)
   return container.cradle
 }
+
+function createRandom ({ settings }: Cradle): Decisions.Random.Random {
+  return new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))
+}
+
+function asValues (dependencies: ProxyDependencies): Awilix.NameAndRegistrationPair<Cradle> {
+  return Object.fromEntries(Object.entries(dependencies).map(([name, value]) => [name, Awilix.asValue(value as unknown)]))
+}
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -35,7 +35,7 @@
   }
   return new Dispatches.Dispatch(request, {
     clock: CLOCK, directory, views, targetSelector: new TargetSelectors.TargetSelector(location, views, new Decisions.Random.Random(5)),
-    retryBudget: budget, sender, metrics: new Metrics.Metrics()
+    retryBudget: budget, sender, metrics: new Metrics.Metrics(), quarantine: { recordBlock: () => { /* Ignored. */ } }
   })
 }
 
@@ -174,3 +174,11 @@
   assert.equal(answer.kind, 'response')
   assert.deepEqual(sender.sent.map(({ target, options }) => [target === 'a', options.mayBypassBreaker]), [[false, false], [true, true]])
 })
+
+// Guards against a request that crashes targets and is sent to one target after another.
+test('blocked request is not sent to another target', async () => {
+  const sender = new ScriptedSenders.ScriptedSender(() => HostedRequests.refusal('request-blocked', 60_000))
+  const answer = await dispatch(sender, {}).answer
+  assert.deepEqual(answer, { kind: 'not-run', reason: 'request-blocked', retryAfter: 60_000 })
+  assert.equal(sender.sent.length, 1)
+})
--- a/packages/proxy/tests/host/host.test.ts
+++ b/packages/proxy/tests/host/host.test.ts
@@ -24,7 +24,11 @@
   }
 }
 
-async function runWithHost (status: () => number, use: (host: Hosts.Host, localTarget: LocalTargets.LocalTarget, reports: readonly HostReports.HostReport[]) => Promise<void>): Promise<void> {
+const NO_QUARANTINE: Hosts.HostDependencies['quarantine'] = { blockedFor: () => undefined, recordCrash: () => { /* Ignored. */ }, recordCompletion: () => { /* Ignored. */ } }
+
+async function runWithHost (
+  status: () => number, use: (host: Hosts.Host, localTarget: LocalTargets.LocalTarget, reports: readonly HostReports.HostReport[]) => Promise<void>, quarantine = NO_QUARANTINE
+): Promise<void> {
   const server = Http.createServer((_request, response) => { setTimeout(() => { response.writeHead(status()).end() }, 20) })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
   const address = server.address()
@@ -32,7 +36,7 @@
   const localTarget = new LocalTargets.LocalTarget()
   localTarget.applyAnnouncement({ target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(1), sequence: 1 })
   const host = new Hosts.Host({
-    clock: CLOCK, dialect: new StubDialects.StubDialect(), log: new Logs.SilentLog(), metrics: new Metrics.Metrics(), localTarget,
+    clock: CLOCK, dialect: new StubDialects.StubDialect(), log: new Logs.SilentLog(), metrics: new Metrics.Metrics(), localTarget, quarantine,
     targetAddress: Decisions.Ids.endpoint(`127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`), version: () => Decisions.Ids.version(1),
     onBreakerChanged: (_target, report) => { reports.push(report) }
   })
@@ -98,3 +102,10 @@
     assert.equal(reports.length, 3)
   })
 })
+
+// Guards against a request that a host runs although it crashes targets, because its entry node does not know that yet.
+test('blocked request does not run', async () => {
+  await runWithHost(() => 200, async host => {
+    assert.deepEqual(await host.run(hostedRequest()), { kind: 'refused', reason: 'request-blocked', retryAfter: 60_000 })
+  }, { ...NO_QUARANTINE, blockedFor: () => 60_000 })
+})
