--- a/packages/proxy/src/entry/retry-budget.ts
+++ b/packages/proxy/src/entry/retry-budget.ts
@@ -31,7 +31,8 @@
 export class RetryBudget {
   private readonly byService = new Map<Decisions.Ids.Service, ServiceBudget>()
 
-  constructor (private readonly settings: RetryBudgetSettings) {}
+  /** `settings` may change, but for the window. */
+  constructor (private readonly settings: () => RetryBudgetSettings) {}
 
   /** Counts a request, which earns a share of a retry. */
   recordRequest (service: Decisions.Ids.Service, now: Decisions.Clock.Milliseconds): void {
@@ -41,7 +42,7 @@
   /** Whether this node's share of the budget allows one more retry. `nodes` is the number of nodes that share the slack. */
   mayRetry (service: Decisions.Ids.Service, nodes: number, now: Decisions.Clock.Milliseconds): boolean {
     const budget = this.of(service)
-    const allowance = USABLE_SHARE * (this.settings.ratio * budget.requests.total(now) + this.settings.slack / Math.max(1, nodes))
+    const allowance = USABLE_SHARE * (this.settings().ratio * budget.requests.total(now) + this.settings().slack / Math.max(1, nodes))
     return budget.retries.total(now) + 1 <= Math.max(1, allowance)
   }
 
@@ -55,7 +56,7 @@
   private of (service: Decisions.Ids.Service): ServiceBudget {
     const existing = this.byService.get(service)
     if (existing !== undefined) return existing
-    const created = new ServiceBudget(this.settings.window)
+    const created = new ServiceBudget(this.settings().window)
     this.byService.set(service, created)
     return created
   }
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -5,6 +5,14 @@
 /** Bucket bounds around the latency objectives of 0.2 to 1.5 s. */
 const LATENCY_BUCKETS_SECONDS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2, 4]
 
+/** A configuration or settings in force. */
+export interface InForce {
+  readonly version?: number
+  readonly checksum: string
+  /** Milliseconds since it came into force on this node. */
+  readonly age: number
+}
+
 export class Metrics {
   private readonly registry = new Prometheus.Registry()
   private readonly requests = new Prometheus.Histogram({
@@ -32,6 +40,15 @@
     name: 'jasminedale_configuration_version', help: 'Configuration version in force.', registers: [this.registry]
   })
 
+  private readonly inForce = new Prometheus.Gauge({
+    name: 'jasminedale_in_force_info', help: 'Checksums of the configuration and the settings in force; the value is 1.',
+    labelNames: ['configuration', 'settings'], registers: [this.registry]
+  })
+
+  private readonly inForceSeconds = new Prometheus.Gauge({
+    name: 'jasminedale_in_force_seconds', help: 'Time since the configuration or the settings came into force on this node.', labelNames: ['part'], registers: [this.registry]
+  })
+
   recordRequest (service: string, outcome: string, elapsed: number): void {
     this.requests.observe({ service, outcome }, elapsed / MILLISECONDS_PER_SECOND)
   }
@@ -52,8 +69,13 @@
     this.storeCalls.inc({ call, result })
   }
 
-  setConfigurationVersion (version: number): void {
-    this.configurationVersion.set(version)
+  /** Sets what is in force. The times since then are in ms. */
+  setInForce (configuration: InForce | undefined, settings: InForce): void {
+    this.configurationVersion.set(configuration?.version ?? 0)
+    this.inForce.reset()
+    this.inForce.set({ configuration: configuration?.checksum ?? '', settings: settings.checksum }, 1)
+    if (configuration !== undefined) this.inForceSeconds.set({ part: 'configuration' }, configuration.age / MILLISECONDS_PER_SECOND)
+    this.inForceSeconds.set({ part: 'settings' }, settings.age / MILLISECONDS_PER_SECOND)
   }
 
   /** All metrics in the Prometheus text format. */
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -20,6 +20,7 @@
 import * as ConfigurationStates from './state/configuration-state.js'
 import * as Registrars from './state/registrar.js'
 import * as RelayedLogs from './state/relayed-log.js'
+import * as SettingsStates from './state/settings-state.js'
 import type * as SharedLogs from './state/shared-log.js'
 import * as StateTransfers from './state/state-transfer.js'
 import * as Synchronizers from './state/synchronizer.js'
@@ -45,6 +46,7 @@
   readonly random: Decisions.Random.Random
   readonly directory: Directories.Directory
   readonly configuration: ConfigurationStates.ConfigurationState
+  readonly settingsState: SettingsStates.SettingsState
   readonly localTarget: LocalTargets.LocalTarget
   readonly views: HostViews.HostViews
   readonly connections: ConnectionPools.ConnectionPool
@@ -66,6 +68,21 @@
   readonly servers: Servers.Servers
 }
 
+/** State of a node as operators see it. Ages are in ms. */
+export interface Status {
+  readonly node: Decisions.Ids.NodeId
+  readonly service: Decisions.Ids.Service
+  readonly dataCenter: Decisions.Ids.DataCenter
+  readonly region: Decisions.Ids.Region
+  readonly isReady: boolean
+  readonly readyTargets: number
+  /** Address of the node through which the shared log is read, `direct` or `as relay`. */
+  readonly logSource: string
+  /** Undefined before the first configuration. `contactAge` is the time since a newer version was last ruled out. */
+  readonly configuration: (Metrics.InForce & { readonly contactAge: number }) | undefined
+  readonly settings: Metrics.InForce & { readonly awaitingRestart: readonly string[] }
+}
+
 /** Time until callers have stopped sending requests to a stopping node: they do after two failed readiness checks, one a second. */
 const CALLER_DRAIN_DELAY = Decisions.Clock.milliseconds(3_300)
 /** Time until a stopping node accepts no more requests for its target, so that those already running end within the shutdown timeout. */
@@ -104,18 +121,40 @@
     return this.components.membership
   }
 
-  get metrics (): Metrics.Metrics {
-    return this.components.metrics
+  /** Applies changed settings; see `SettingsState`. */
+  replaceSettings (settings: Settings.ProxySettings): void {
+    this.components.settingsState.replace(settings)
+  }
+
+  /** What is in force on this node, since when, and how current that is. */
+  status (): Status {
+    const { settings: { node, service, location }, configuration, settingsState, clock, sharedLog } = this.components
+    const now = clock.now()
+    const { current } = configuration
+    return {
+      node, service, dataCenter: location.dataCenter, region: location.region, isReady: this.isReady, readyTargets: this.readyTargetCount, logSource: sharedLog.currentSource,
+      configuration: current === undefined
+        ? undefined
+        : { version: current.version, checksum: current.checksum, age: configuration.inForceFor(now) ?? 0, contactAge: configuration.contactAge(now) },
+      settings: { checksum: settingsState.current.checksum, age: settingsState.age(), awaitingRestart: settingsState.awaitingRestart }
+    }
+  }
+
+  /** All metrics in the Prometheus text format. */
+  async renderMetrics (): Promise<string> {
+    const { configuration, settings } = this.status()
+    this.components.metrics.setInForce(configuration, settings)
+    return await this.components.metrics.render()
   }
 
   /** Finishes the requests in flight, then closes the node. Resolves to the number of requests aborted at the shutdown timeout. */
   async stop (): Promise<number> {
-    const { clock, gateway, host, hostServer, log, servers, settings } = this.components
+    const { clock, gateway, host, hostServer, log, servers, settingsState } = this.components
     this.isStopping = true
     const startedAt = clock.now()
     log.info('planned stop begins', { inFlight: gateway.inFlight, hosted: hostServer.inFlight })
     gateway.startDraining()
-    const shutdownDeadline = startedAt + settings.shutdownTimeout - SHUTDOWN_MARGIN
+    const shutdownDeadline = startedAt + settingsState.current.shutdownTimeout - SHUTDOWN_MARGIN
     const inFlight = (): number => gateway.inFlight + hostServer.inFlight + host.running
     // Other nodes may use the local target's capacity until its host stops accepting requests.
     await delay(HOST_DRAIN_DELAY)
@@ -153,6 +192,7 @@
     random: Awilix.asFunction(createRandom).singleton(),
     directory: Awilix.asClass(Directories.Directory).singleton(),
     configuration: Awilix.asClass(ConfigurationStates.ConfigurationState).singleton(),
+    settingsState: Awilix.asClass(SettingsStates.SettingsState).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
     connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
@@ -169,7 +209,7 @@
     hostServer: Awilix.asClass(HostServers.HostServer).singleton(),
     stateTransfer: Awilix.asClass(StateTransfers.StateTransfer).singleton(),
     targetSelector: Awilix.asFunction((cradle: Cradle) => new TargetSelectors.TargetSelector(cradle.settings.location, cradle.views, cradle.random)).singleton(),
-    retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(cradle.settings.retryBudget)).singleton(),
+    retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
       clock: cradle.clock, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory,
       connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
--- a/packages/proxy/src/settings.ts
+++ b/packages/proxy/src/settings.ts
@@ -17,4 +17,6 @@
   readonly retryBudget: RetryBudgets.RetryBudgetSettings
   /** Time from the request to stop until the process must have ended. */
   readonly shutdownTimeout: Decisions.Clock.Milliseconds
+  /** Digest of the settings file, by which operators compare what is in force on different nodes. */
+  readonly checksum: string
 }
--- a/packages/proxy/src/state/configuration-state.ts
+++ b/packages/proxy/src/state/configuration-state.ts
@@ -9,6 +9,7 @@
 export class ConfigurationState {
   private routeTable: RouteTables.RouteTable | undefined
   private lastContactAt: Decisions.Clock.Milliseconds | undefined
+  private replacedAt: Decisions.Clock.Milliseconds | undefined
 
   get table (): RouteTables.RouteTable | undefined {
     return this.routeTable
@@ -23,12 +24,18 @@
   }
 
   /** Puts a configuration into force if its version is newer. Returns whether it was. */
-  replaceIfNewer (configuration: Routes.RouteConfiguration): boolean {
+  replaceIfNewer (configuration: Routes.RouteConfiguration, now: Decisions.Clock.Milliseconds): boolean {
     if (this.current !== undefined && configuration.version <= this.current.version) return false
     this.routeTable = new RouteTables.RouteTable(configuration)
+    this.replacedAt = now
     return true
   }
 
+  /** Milliseconds since the configuration came into force on this node; undefined before the first one. */
+  inForceFor (now: Decisions.Clock.Milliseconds): number | undefined {
+    return this.replacedAt === undefined ? undefined : now - this.replacedAt
+  }
+
   /** Notes that the shared log, or a peer in contact with it, confirmed that no newer configuration exists. */
   recordContact (now: Decisions.Clock.Milliseconds): void {
     this.lastContactAt = now
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -54,7 +54,7 @@
   private contactAt = Decisions.Clock.milliseconds(-Infinity)
   private timer: NodeJS.Timeout | undefined
   private wakeUps: (() => void)[] = []
-  private source = ''
+  private source = 'direct'
   private isClosed = false
 
   constructor (dependencies: RelayedLogDependencies) {
@@ -65,6 +65,11 @@
     dependencies.nodeRpc.addMethod(READ_METHOD, params => this.serveRecords(params))
   }
 
+  /** Address of the relay through which this node reads, `as relay` or `direct`. */
+  get currentSource (): string {
+    return this.source
+  }
+
   start (): void {
     this.timer = setInterval(() => { this.update() }, ANNOUNCEMENT_INTERVAL_MS)
   }
--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -60,7 +60,7 @@
     }
     const changed = this.mergeState(result.value)
     if (result.value.current) configuration.recordContact(clock.now())
-    if (changed) log.info('state taken over from a peer', { peer: address, version: configuration.version })
+    if (changed) log.info('state taken over from a peer', { peer: address, version: configuration.version, checksum: configuration.current?.checksum })
     return changed
   }
 
@@ -81,8 +81,8 @@
   }
 
   private mergeState (result: Result): boolean {
-    const { configuration, directory, log } = this.dependencies
-    let changed = result.configuration !== undefined && configuration.replaceIfNewer(result.configuration)
+    const { configuration, directory, log, clock } = this.dependencies
+    let changed = result.configuration !== undefined && configuration.replaceIfNewer(result.configuration, clock.now())
     for (const item of result.registrations) {
       const registration = RegistrationRecords.parse('peer', item)
       if (registration.isOk()) changed = directory.merge(registration.value) || changed
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -6,7 +6,6 @@
 import type * as HostViews from '../entry/host-views.js'
 import type * as Membership from '../membership.js'
 import type * as Logs from '../observation/log.js'
-import type * as Metrics from '../observation/metrics.js'
 import type * as Routes from '../routes/route.js'
 import type * as Settings from '../settings.js'
 import type * as ConfigurationStates from './configuration-state.js'
@@ -36,7 +35,6 @@
 export interface SynchronizerDependencies extends Followers.FollowerDependencies {
   readonly settings: Settings.ProxySettings
   readonly log: Logs.Log
-  readonly metrics: Metrics.Metrics
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly directory: Directories.Directory
   readonly views: HostViews.HostViews
@@ -113,7 +111,7 @@
   }
 
   private applyConfiguration (record: SharedLogs.KeyedRecord): void {
-    const { configuration, log, metrics, readConfiguration } = this.dependencies
+    const { configuration, log, clock, readConfiguration } = this.dependencies
     const read = readConfiguration(record)
     if (read === undefined) return
     if (read.isErr()) {
@@ -121,9 +119,8 @@
       return
     }
     const before = configuration.version
-    if (!configuration.replaceIfNewer(read.value)) return
-    metrics.setConfigurationVersion(read.value.version)
-    log.info('configuration in force', { version: read.value.version, before, routes: read.value.routes.length })
+    if (!configuration.replaceIfNewer(read.value, clock.now())) return
+    log.info('configuration in force', { version: read.value.version, checksum: read.value.checksum, before, routes: read.value.routes.length })
   }
 
   private applyRegistration (record: SharedLogs.KeyedRecord): void {
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -23,7 +23,7 @@
 
 function dispatch (
   sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000,
-  budget = new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack }), deadline = Decisions.Clock.seconds(2),
+  budget = new RetryBudgets.RetryBudget(() => ({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack })), deadline = Decisions.Clock.seconds(2),
   views = new HostViews.HostViews()
 ): Dispatches.Dispatch {
   const directory = new Directories.Directory()
@@ -145,7 +145,7 @@
 
 // Guards against a probe by a request that the retry budget does not allow to be retried.
 test('request without budget for a retry may not be a probe', async () => {
-  const budget = new RetryBudgets.RetryBudget({ window: Decisions.Clock.seconds(10), ratio: 0, slack: 0 })
+  const budget = new RetryBudgets.RetryBudget(() => ({ window: Decisions.Clock.seconds(10), ratio: 0, slack: 0 }))
   budget.tryAcquire(Samples.SERVICE, 1, CLOCK.now())
   const sender = new ScriptedSenders.ScriptedSender(() => answered(200))
   await dispatch(sender, {}, NAMES, 0, budget).answer
--- a/packages/proxy/tests/entry/retry-budget.test.ts
+++ b/packages/proxy/tests/entry/retry-budget.test.ts
@@ -10,7 +10,7 @@
 
 // Guards against retries that amplify an overload: over all nodes, the retries of a window must not exceed the configured budget.
 test('retries in a window stay within the budget', () => {
-  const budget = new RetryBudgets.RetryBudget(SETTINGS)
+  const budget = new RetryBudgets.RetryBudget(() => SETTINGS)
   const taken: number[] = []
   for (let now = 0; now < 60_000; now += 20) {
     budget.recordRequest(Samples.SERVICE, at(now))
@@ -24,7 +24,7 @@
 
 // Guards against a node with little traffic that may never retry, since its share of the budget is below one retry.
 test('node with a single request may retry once', () => {
-  const budget = new RetryBudgets.RetryBudget(SETTINGS)
+  const budget = new RetryBudgets.RetryBudget(() => SETTINGS)
   budget.recordRequest(Samples.SERVICE, at(0))
   assert.equal(budget.tryAcquire(Samples.SERVICE, NODES, at(1)), true)
   assert.equal(budget.tryAcquire(Samples.SERVICE, NODES, at(2)), false)
--- a/packages/proxy/tests/membership.test.ts
+++ b/packages/proxy/tests/membership.test.ts
@@ -21,7 +21,7 @@
   const published: Registrations.Registration[] = []
   const membership = new Membership.Membership({
     settings: {
-      node: Decisions.Ids.nodeId('n'), service: Samples.SERVICE, targetAddress: HOST, callerAddress: HOST, shutdownTimeout: Decisions.Clock.seconds(6),
+      node: Decisions.Ids.nodeId('n'), service: Samples.SERVICE, targetAddress: HOST, callerAddress: HOST, checksum: '0', shutdownTimeout: Decisions.Clock.seconds(6),
       location: { host: HOST, dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') },
       reportPort: 1, retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }
     },
