--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -20,7 +20,7 @@
   /** Time for which one read waits for new records. It bounds how long a dead connection goes unnoticed. */
   readonly pollTimeout: Decisions.Clock.Milliseconds
   /** Delay after new records, so that one read returns a series of changes. */
-  readonly batchDelay: Decisions.Clock.Milliseconds
+  batchDelay (): Decisions.Clock.Milliseconds
   apply (record: SharedLogs.KeyedRecord): void
   /** Called after each successful read, once its records are applied; also when there were none. */
   onBatchApplied (): void
@@ -61,7 +61,7 @@
 
   private async applyBatch (batch: SharedLogs.Batch): Promise<void> {
     const { log, clock } = this.dependencies
-    const { topic, batchDelay } = this.subscription
+    const { topic } = this.subscription
     if (this.failingSince !== undefined) {
       log.info('shared log answers again', { topic, after: Math.round(clock.now() - this.failingSince), failures: this.failureCount })
       this.failingSince = undefined
@@ -70,6 +70,7 @@
     this.offset = batch.nextOffset
     for (const record of batch.records) this.subscription.apply(record)
     this.subscription.onBatchApplied()
+    const batchDelay = this.subscription.batchDelay()
     if (batch.records.length > 0 && batchDelay > 0) await Timers.setTimeout(batchDelay)
   }
 
--- a/packages/proxy/src/state/relay-selector.ts
+++ b/packages/proxy/src/state/relay-selector.ts
@@ -42,6 +42,8 @@
   /** The node that should be the relay and has not been heard yet, and since when. */
   private awaited: { readonly host: Decisions.Ids.Endpoint, readonly since: Decisions.Clock.Milliseconds } | undefined
 
+  private isActing = false
+
   constructor (private readonly own: Decisions.Ids.Endpoint) {}
 
   /** Records what a relay has announced. */
@@ -65,15 +67,23 @@
     return undefined
   }
 
-  /** Whether this node is to act as relay: it is the first of the group, or those before it are suspected to have failed. */
+  /**
+   * Whether this node is to act as relay: it is the first of the group, or those before it are suspected to have failed.
+   * A relay goes on until one before it is active, so that the group always has one when a node joins.
+   */
   isRelay (group: readonly Decisions.Ids.Endpoint[], now: Decisions.Clock.Milliseconds): boolean {
-    for (const host of group) {
-      if (host === this.own) return true
-      if ((this.suspectedUntil.get(host) ?? 0) > now) continue
-      if (!this.isOverdue(host, now)) return false
-      this.recordFailure(host, now)
-    }
-    return false
+    const position = group.indexOf(this.own)
+    const isFirst = position >= 0 && group.slice(0, position).every(host => this.isSuspected(host, now))
+    this.isActing = position >= 0 && (isFirst || (this.isActing && this.activeRelay(group.slice(0, position), now) === undefined))
+    return this.isActing
+  }
+
+  /** Whether a node is passed over. The first that is not is expected to announce itself in time. */
+  private isSuspected (host: Decisions.Ids.Endpoint, now: Decisions.Clock.Milliseconds): boolean {
+    if ((this.suspectedUntil.get(host) ?? 0) > now) return true
+    if (!this.isOverdue(host, now)) return false
+    this.recordFailure(host, now)
+    return true
   }
 
   /** Whether a node that should be the relay has been silent, or without contact, for too long. */
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -16,10 +16,12 @@
 /** Three announcements fit into the time after which a relay counts as failed, since datagrams get lost. */
 const ANNOUNCEMENT_INTERVAL_MS = 300
 /** A relay without contact for this long sends no announcements. */
-const ANNOUNCED_CONTACT_AGE_MAXIMUM_MS = 1_000
+const ANNOUNCED_CONTACT_AGE_MAXIMUM_MS = 1_200
+/** A node that has become the relay may still wait in a long read; after this time without contact it checks the log by another one. */
+const CHECKED_CONTACT_AGE_MS = 1_000
 /** Long polling of a relay. Short, since an answer is also the proof of its contact with the log. */
 const RELAY_POLL_TIMEOUT: Readonly<Record<SharedLogs.Topic, Decisions.Clock.Milliseconds>> = {
-  configuration: Decisions.Clock.milliseconds(600), targets: Decisions.Clock.seconds(2)
+  configuration: Decisions.Clock.milliseconds(800), targets: Decisions.Clock.seconds(2)
 }
 const DIRECT_READ_TIMEOUT = Decisions.Clock.milliseconds(0)
 
@@ -56,6 +58,7 @@
   private wakeUps: (() => void)[] = []
   private source = 'direct'
   private isClosed = false
+  private isChecking = false
 
   constructor (dependencies: RelayedLogDependencies) {
     super()
@@ -147,11 +150,29 @@
 
   /** Announces this node if it is the relay, and repeats the choice of the source. Called in the interval of announcements. */
   update (): void {
-    if (this.isRelay()) this.announce()
+    if (this.isRelay()) {
+      if (this.contactAge() > CHECKED_CONTACT_AGE_MS) void this.checkContact()
+      this.announce()
+    }
     this.logSource()
     this.wakeReaders()
   }
 
+  private contactAge (): number {
+    return this.dependencies.clock.now() - this.contactAt
+  }
+
+  /** The records that this read returns are also returned to the reader that still waits. */
+  private async checkContact (): Promise<void> {
+    const { nextOffset } = this.buffers.configuration
+    if (this.isChecking || nextOffset === undefined) return
+    this.isChecking = true
+    const read = await this.dependencies.store.readFrom('configuration', nextOffset, DIRECT_READ_TIMEOUT)
+    this.isChecking = false
+    if (read.isOk()) this.recordContact('configuration')
+    else this.dependencies.log.info('relay cannot reach the shared log', { failure: read.error.kind, contactAge: Math.round(this.contactAge()) })
+  }
+
   private wakeReaders (): void {
     const wakeUps = this.wakeUps
     this.wakeUps = []
@@ -176,8 +197,8 @@
   }
 
   private announce (): void {
-    const { clock, nodeChannel, settings: { location } } = this.dependencies
-    const contactAge = clock.now() - this.contactAt
+    const { nodeChannel, settings: { location } } = this.dependencies
+    const contactAge = this.contactAge()
     const { configuration, targets } = this.buffers
     if (contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || configuration.nextOffset === undefined || targets.nextOffset === undefined) return
     const params = [location.host, configuration.nextOffset, targets.nextOffset, Math.ceil(contactAge)]
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -27,6 +27,9 @@
 const TARGETS_POLL_TIMEOUT = Decisions.Clock.seconds(20)
 /** Registrations come in bursts when a service is deployed; one read returns many of them. */
 const TARGETS_BATCH_DELAY = Decisions.Clock.milliseconds(700)
+/** The same in the first seconds of a process: when a whole fleet starts, all targets register, and each node reads all of that. */
+const STARTUP_BATCH_DELAY = Decisions.Clock.seconds(2)
+const STARTUP_DURATION = Decisions.Clock.seconds(4)
 /** Interval of state requests to peers while the log does not answer. */
 const PEER_REQUEST_INTERVAL_MS = 700
 /** Time for the log to deliver a version that another node already has, before that node is asked for it. */
@@ -87,17 +90,19 @@
     return new Followers.Follower(this.dependencies, {
       topic: 'configuration',
       pollTimeout: CONFIGURATION_POLL_TIMEOUT,
-      batchDelay: Decisions.Clock.milliseconds(0),
+      batchDelay: () => Decisions.Clock.milliseconds(0),
       apply: record => { this.applyConfiguration(record) },
       onBatchApplied: () => { configuration.recordContact(clock.now()) }
     })
   }
 
   private followTargets (): Followers.Follower {
+    const { clock } = this.dependencies
+    const startedAt = clock.now()
     return new Followers.Follower(this.dependencies, {
       topic: 'targets',
       pollTimeout: TARGETS_POLL_TIMEOUT,
-      batchDelay: TARGETS_BATCH_DELAY,
+      batchDelay: () => clock.now() - startedAt < STARTUP_DURATION ? STARTUP_BATCH_DELAY : TARGETS_BATCH_DELAY,
       apply: record => { this.applyRegistration(record) },
       onBatchApplied: () => { this.completeDirectoryRead() }
     })
--- a/packages/proxy/tests/state/relay-selector.test.ts
+++ b/packages/proxy/tests/state/relay-selector.test.ts
@@ -71,3 +71,14 @@
   selector.recordAnnouncement(relay(FIRST, 200))
   assert.equal(selector.isRelay(group, at(200)), false)
 })
+
+// Guards against a group without a relay from the moment at which a node joins that comes first in its order.
+test('relay goes on until the node before it is active', () => {
+  const withoutFirst = RelaySelectors.groupOf(SECOND, HOSTS.filter(host => host !== FIRST))
+  const group = RelaySelectors.groupOf(SECOND, HOSTS)
+  const selector = new RelaySelectors.RelaySelector(SECOND)
+  assert.equal(selector.isRelay(withoutFirst, at(0)), true)
+  assert.equal(selector.isRelay(group, at(100)), true)
+  selector.recordAnnouncement(relay(FIRST, 200))
+  assert.equal(selector.isRelay(group, at(200)), false)
+})
--- a/packages/proxy/tests/state/relayed-log.test.ts
+++ b/packages/proxy/tests/state/relayed-log.test.ts
@@ -90,11 +90,11 @@
     }
   }
 
-  /** Advances the clock in the interval at which nodes announce themselves; ends the reads that wait at the log every other step. */
-  async advance (milliseconds: number): Promise<void> {
+  /** Advances the clock in the interval at which nodes announce themselves. Reads that wait at the log end every other step if `expires`. */
+  async advance (milliseconds: number, expires = true): Promise<void> {
     for (let elapsed = 0; elapsed < milliseconds; elapsed += 300) {
       this.clock.advance(Decisions.Clock.milliseconds(300))
-      if (elapsed % 600 === 0) this.expire()
+      if (expires && elapsed % 600 === 0) this.expire()
       await this.settle()
       for (const { log } of this.members) log.update()
       await this.settle()
@@ -163,3 +163,14 @@
   assert.ok(group.members.every(({ store }, index) => store.reads > (before[index] ?? 0)))
   for (const { log } of group.members) log.close()
 })
+
+// Guards against a group that reads the log without a relay for seconds, until the reads end that were waiting when it formed.
+test('relay that waits in a long read announces itself', async () => {
+  const group = new Group()
+  for (const member of group.members) void group.follow(member)
+  await group.advance(600, false)
+  for (let step = 0; step < 4; step += 1) await group.advance(600, false)
+  assert.equal(group.members.filter(({ log }) => log.currentSource === 'as relay').length, 1)
+  assert.equal(group.members.filter(({ log }) => log.currentSource.startsWith('10.')).length, NODES - 1)
+  for (const { log } of group.members) log.close()
+})
