--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -3,6 +3,7 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import * as BufferBudgets from '../transport/buffer-budget.js'
 import * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
@@ -22,6 +23,8 @@
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Bounds the memory that one response takes. */
 const RESPONSE_LIMIT_BYTES = 67_108_864
+/** Bounds the memory that all unfinished responses take; the smallest VMs have 250 MB for the process. */
+const RESPONSE_BUDGET_BYTES = 67_108_864
 /**
  * An error response within this time after a failed call to another service is attributed to that call. Short, since
  * the failed call may come from another caller on this VM and not from the target.
@@ -55,6 +58,7 @@
   private readonly slots = new Slots.Slots()
   private readonly serviceTime = new ServiceTimes.ServiceTime()
   private readonly connections = new ConnectionPools.ConnectionPool()
+  private readonly responseBudget = new BufferBudgets.BufferBudget(RESPONSE_BUDGET_BYTES)
   private isDraining = false
   /** When a request from this VM to another service last failed. */
   private lastFailedCallAt: Decisions.Clock.Milliseconds | undefined
@@ -220,6 +224,7 @@
       timeout: remaining,
       connectTimeout: CONNECT_TIMEOUT,
       maximumResponseBytes: RESPONSE_LIMIT_BYTES,
+      responseBudget: this.responseBudget,
       connections: this.connections,
       awaitsConfirmation: false,
       confirmationTimeout: CONNECT_TIMEOUT
--- a/packages/proxy/src/transport/dialect.ts
+++ b/packages/proxy/src/transport/dialect.ts
@@ -27,7 +27,7 @@
   readonly isNotExecuted: boolean
   /** Whether another backend server answered, which has the address now. */
   readonly isMisdirected: boolean
-  /** Whether the response carries the backend server's signature. */
+  /** Whether the response carries the backend server's signature and names its request, so that it cannot be a late copy of an earlier one. */
   readonly isSigned: boolean
   /** Whether the body was changed in transit, for example compressed. */
   readonly isAltered: boolean
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -2,6 +2,7 @@
 import * as Http from 'node:http'
 import * as Decisions from '@jasminedale/decisions'
 import * as Bodies from './body.js'
+import type * as BufferBudgets from './buffer-budget.js'
 import type * as ConnectionPools from './connection-pool.js'
 
 export interface Response {
@@ -31,6 +32,8 @@
   /** Time within which a connection must be open. */
   readonly connectTimeout: Decisions.Clock.Milliseconds
   readonly maximumResponseBytes: number
+  /** Bounds the responses of several exchanges together. */
+  readonly responseBudget?: BufferBudgets.BufferBudget
   readonly connections: ConnectionPools.ConnectionPool
   /**
    * Whether the body, and the end of the request, are sent only after the peer has confirmed with 100 Continue. The peer
@@ -45,6 +48,8 @@
 }
 
 const HTTP_OK = 200
+/** Informational (1xx) responses to one request. A peer sends at most two; one that sends them without end would occupy the event loop. */
+const INFORMATIONAL_RESPONSES_MAXIMUM = 8
 
 export class Exchange {
   readonly result: Promise<ExchangeResult>
@@ -60,6 +65,7 @@
   /** Whether the connection failed, in which case a body without a length may be truncated. */
   private hasConnectionError = false
   private hasTimedOut = false
+  private informationalResponses = 0
   private readonly timers: NodeJS.Timeout[] = []
 
   constructor (private readonly options: ExchangeOptions) {
@@ -122,8 +128,8 @@
         this.handleConnected()
       })
     })
-    request.on('continue', () => { this.commit() })
-    request.on('information', () => { this.queued = true })
+    request.on('continue', () => { if (this.countInformational()) this.commit() })
+    request.on('information', () => { this.queued = this.countInformational() })
     request.on('response', message => { void this.receive(message) })
     request.on('error', error => { if (!this.hasResponse) this.fail(error.message) })
     // Once a response has begun, reading its body shows whether it is complete.
@@ -141,8 +147,15 @@
     else this.startTimer(this.options.confirmationTimeout, 'peer did not confirm the request in time', () => !this.isCommitted && !this.queued)
   }
 
+  /** Counts an informational response. Returns whether the exchange goes on. */
+  private countInformational (): boolean {
+    this.informationalResponses += 1
+    if (this.informationalResponses > INFORMATIONAL_RESPONSES_MAXIMUM) this.fail('peer sent too many informational responses')
+    return !this.isFinished
+  }
+
   private commit (): void {
-    if (this.isFinished) return
+    if (this.isFinished || this.isCommitted) return
     if (this.options.mayCommit?.() === false) {
       this.fail('request was withdrawn when the peer confirmed it')
       return
@@ -157,7 +170,7 @@
     // A response without confirmation is a refusal. Ending the request with an empty body keeps the connection usable.
     if (this.options.awaitsConfirmation && !this.isCommitted) this.request.end()
     this.options.connections.setIdleLimit(message.socket, message.headers['keep-alive'])
-    const body = await Bodies.read(message, this.options.maximumResponseBytes)
+    const body = await Bodies.read(message, this.options.maximumResponseBytes, this.options.responseBudget)
     if (body.isErr() || (this.hasConnectionError && isUnframed(message))) {
       this.fail(body.isErr() ? `response body is ${body.error.kind}` : 'connection failed during a response without a length')
       return
--- a/packages/proxy/tests/transport/exchange.test.ts
+++ b/packages/proxy/tests/transport/exchange.test.ts
@@ -142,3 +142,11 @@
   server.close()
   assert.equal(connections, 1)
 })
+
+// Guards against an event loop that is occupied by informational responses without end.
+test('exchange ends after a few informational responses', async () => {
+  const server = rawServer(socket => { socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(100)) })
+  const result = await new Exchanges.Exchange(createOptions(await listen(server))).result
+  server.close()
+  assert.deepEqual(result, { kind: 'lost', reason: 'peer sent too many informational responses', hasTimedOut: false })
+})
