--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -7,8 +7,8 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as DestinationChoosers from '../routes/destination-chooser.js'
 import type * as Routes from '../routes/route.js'
-import * as RouteTables from '../routes/route-table.js'
 import type * as Settings from '../settings.js'
 import type * as ConfigurationStates from '../state/configuration-state.js'
 import * as Bodies from '../transport/body.js'
@@ -37,7 +37,7 @@
   readonly log: Logs.Log
   readonly metrics: Metrics.Metrics
   readonly configuration: ConfigurationStates.ConfigurationState
-  readonly random: Decisions.Random.Random
+  readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
   readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock' | 'blockedFor'>
   readonly settings: Pick<Settings.ProxySettings, 'service'>
@@ -110,11 +110,12 @@
       this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'request-blocked', retryAfter: blockedFor })
       return
     }
-    const service = RouteTables.chooseDestination(route, this.dependencies.random)
+    const service = this.dependencies.destinationChooser.choose(route)
     if (service === undefined) {
       this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'no-target', retryAfter: STARTING_RETRY_AFTER_MS })
       return
     }
+    if (route.destinations.length > 1) this.dependencies.metrics.recordSplit(route.name, service)
     const remaining = Math.min(callerTimeout, route.timeout)
     await this.dispatch(inbound, {
       id,
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,6 +1,7 @@
 /** Public interface of the proxy package. */
 export * as ConfigurationStates from './state/configuration-state.js'
 export * as ConnectionPools from './transport/connection-pool.js'
+export * as DestinationChoosers from './routes/destination-chooser.js'
 export * as Dialects from './transport/dialect.js'
 export * as Directories from './directory/directory.js'
 export * as Exchanges from './transport/exchange.js'
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -20,6 +20,10 @@
     buckets: LATENCY_BUCKETS_SECONDS, registers: [this.registry]
   })
 
+  private readonly splits = new Prometheus.Counter({
+    name: 'jasminedale_split_requests_total', help: 'Requests of routes with several destinations, by the service chosen.', labelNames: ['route', 'service'], registers: [this.registry]
+  })
+
   private readonly attempts = new Prometheus.Counter({
     name: 'jasminedale_attempts_total', help: 'Attempts of this entry by what became of them.', labelNames: ['service', 'result'], registers: [this.registry]
   })
@@ -53,6 +57,10 @@
     this.requests.observe({ service, outcome }, elapsed / MILLISECONDS_PER_SECOND)
   }
 
+  recordSplit (route: string, service: string): void {
+    this.splits.inc({ route, service })
+  }
+
   recordAttempt (service: string, result: string): void {
     this.attempts.inc({ service, result })
   }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -15,6 +15,7 @@
 import type * as Logs from './observation/log.js'
 import type * as Metrics from './observation/metrics.js'
 import * as Quarantines from './quarantine/quarantine.js'
+import * as DestinationChoosers from './routes/destination-chooser.js'
 import * as Servers from './servers.js'
 import type * as Settings from './settings.js'
 import * as ConfigurationStates from './state/configuration-state.js'
@@ -61,6 +62,7 @@
   readonly targetSelector: TargetSelectors.TargetSelector
   readonly retryBudget: RetryBudgets.RetryBudget
   readonly sender: Senders.Sender
+  readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly gateway: Gateways.Gateway
   readonly registrar: Registrars.Registrar
   readonly synchronizer: Synchronizers.Synchronizer
@@ -214,6 +216,7 @@
       clock: cradle.clock, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory,
       connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
+    destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
     gateway: Awilix.asClass(Gateways.Gateway).singleton(),
     registrar: Awilix.asFunction((cradle: Cradle) => new Registrars.Registrar(cradle.sharedLog, cradle.log, cradle.random)).singleton(),
     synchronizer: Awilix.asClass(Synchronizers.Synchronizer).singleton(),
--- a/packages/proxy/src/routes/route-table.ts
+++ b/packages/proxy/src/routes/route-table.ts
@@ -1,5 +1,4 @@
-/** Finds the route of a request and chooses one of its destinations. */
-import type * as Decisions from '@jasminedale/decisions'
+/** Finds the route of a request. */
 import type * as Routes from './route.js'
 
 /** Routes of one host name. */
@@ -38,15 +37,3 @@
     return undefined
   }
 }
-
-/** Chooses a destination at random in proportion to the weights. */
-export function chooseDestination (route: Routes.Route, random: Decisions.Random.Random): Decisions.Ids.Service | undefined {
-  const total = route.destinations.reduce((sum, destination) => sum + destination.weight, 0)
-  if (total <= 0) return route.destinations[0]?.service
-  let remainder = random.fraction() * total
-  for (const destination of route.destinations) {
-    remainder -= destination.weight
-    if (remainder < 0) return destination.service
-  }
-  return route.destinations.at(-1)?.service
-}
