--- a/packages/proxy/src/routes/destination-chooser.ts
+++ b/packages/proxy/src/routes/destination-chooser.ts
@@ -8,7 +8,7 @@
 
 /** Successive multiples of the golden ratio, modulo 1, spread evenly over every interval of weights. */
 const STEP = (Math.sqrt(5) - 1) / 2
-const MAXIMUM_ROUTES = 10_000
+const MAXIMUM_ROUTES = 1_000
 
 export class DestinationChooser {
   /** Position of each route in its sequence, from 0 to 1. Starts at random, so that nodes do not choose in step. */
--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -68,7 +68,7 @@
       this.failureCount = 0
     }
     this.offset = batch.nextOffset
-    for (const record of batch.records) this.subscription.apply(record)
+    for (const record of newestOfEachKey(batch.records)) this.subscription.apply(record)
     this.subscription.onBatchApplied()
     const batchDelay = this.subscription.batchDelay()
     if (batch.records.length > 0 && batchDelay > 0) await Timers.setTimeout(batchDelay)
@@ -91,3 +91,8 @@
     await Timers.setTimeout(retryDelay * (0.5 + random.fraction()))
   }
 }
+
+/** Later records of a key replace earlier ones, so that a series of changes costs no more than the last of them. */
+function newestOfEachKey (records: readonly SharedLogs.KeyedRecord[]): Iterable<SharedLogs.KeyedRecord> {
+  return new Map(records.map(record => [record.key, record])).values()
+}
