--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -90,8 +90,10 @@
     const { clock } = this.dependencies
     const deadline = Decisions.Clock.add(clock.now(), wait)
     while (!this.isClosed) {
+      // Two relays that read from each other would both miss what is new.
+      if (this.isRelay()) return await this.readStore(topic, offset, RELAY_POLL_TIMEOUT[topic])
       const relay = this.activeRelay()
-      if (relay === undefined) return await this.readStore(topic, offset, this.isRelay() ? RELAY_POLL_TIMEOUT[topic] : wait)
+      if (relay === undefined) return await this.readStore(topic, offset, wait)
       if (relay.offsets[topic] > offset) return await this.readRelay(relay.host, topic, offset)
       if (clock.now() >= deadline) return neverthrow.ok({ records: [], nextOffset: offset })
       await new Promise<void>(resolve => { this.wakeUps.push(resolve) })
@@ -162,15 +164,18 @@
     return this.dependencies.clock.now() - this.contactAt
   }
 
-  /** The records that this read returns are also returned to the reader that still waits. */
+  /**
+   * Only an answer without records shows that this node knows all of the log. Records are left to the reader that still
+   * waits; if its connection has died, this relay has no contact until that read has failed.
+   */
   private async checkContact (): Promise<void> {
     const { nextOffset } = this.buffers.configuration
     if (this.isChecking || nextOffset === undefined) return
     this.isChecking = true
     const read = await this.dependencies.store.readFrom('configuration', nextOffset, DIRECT_READ_TIMEOUT)
     this.isChecking = false
-    if (read.isOk()) this.recordContact('configuration')
-    else this.dependencies.log.info('relay cannot reach the shared log', { failure: read.error.kind, contactAge: Math.round(this.contactAge()) })
+    if (read.isOk() && read.value.records.length === 0) this.recordContact('configuration')
+    if (read.isErr()) this.dependencies.log.info('relay cannot reach the shared log', { failure: read.error.kind, contactAge: Math.round(this.contactAge()) })
   }
 
   private wakeReaders (): void {
--- a/packages/proxy/tests/state/relayed-log.test.ts
+++ b/packages/proxy/tests/state/relayed-log.test.ts
@@ -111,6 +111,11 @@
     return this.members.reduce((sum, { store }) => sum + store.reads, 0)
   }
 
+  /** Lets a node act as if `member` announced itself as relay, with the offset that it has read. */
+  announce (member: Member, to: Member): void {
+    this.handlers.get(`${to.host} relay`)?.([member.host, member.applied, member.applied, 0])
+  }
+
   private expire (): void {
     for (const resolve of this.waiting.splice(0)) resolve()
   }
@@ -174,3 +179,28 @@
   assert.equal(group.members.filter(({ log }) => log.currentSource.startsWith('10.')).length, NODES - 1)
   for (const { log } of group.members) log.close()
 })
+
+// Guards against two relays that read from each other and both miss a change.
+test('relay reads the log itself while another node announces itself', async () => {
+  const group = await startGroup()
+  const relay = relayOf(group)
+  const other = group.members.find(member => member !== relay) ?? relay
+  for (let step = 0; step < 4; step += 1) {
+    group.announce(other, relay)
+    const before = relay.store.reads
+    await group.advance(600)
+    assert.ok(relay.store.reads > before)
+  }
+  for (const { log } of group.members) log.close()
+})
+
+// Guards against a group that relies on a relay whose read hangs on a connection that has died.
+test('relay whose read hangs while the log has new records is not relied on', async () => {
+  const group = await startGroup()
+  const failed = relayOf(group)
+  group.stored.push({ key: 'config', value: Buffer.from('2') })
+  // No read that waits at the log ends from now on, so that the failed relay itself cannot read on.
+  await group.advance(3_600, false)
+  assert.deepEqual(group.members.filter(({ applied, host }) => applied !== 2 && host !== failed.host), [])
+  for (const { log } of group.members) log.close()
+})
