--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -188,8 +188,10 @@
     return this.selector.activeRelay(this.currentGroup(), this.dependencies.clock.now())
   }
 
+  /** A node that cannot reach the log leaves the role to another relay, if there is one, and reads from it. */
   private isRelay (): boolean {
-    return this.selector.isRelay(this.currentGroup(), this.dependencies.clock.now())
+    const isChosen = this.selector.isRelay(this.currentGroup(), this.dependencies.clock.now())
+    return isChosen && (this.contactAge() <= RelaySelectors.CONTACT_AGE_MAXIMUM || this.activeRelay() === undefined)
   }
 
   private currentGroup (): readonly Decisions.Ids.Endpoint[] {
--- a/packages/proxy/tests/state/relayed-log.test.ts
+++ b/packages/proxy/tests/state/relayed-log.test.ts
@@ -18,6 +18,7 @@
 /** Shared log in memory that counts the reads of each node. Reads without new records end only when `expire` is called. */
 class MemoryLog extends SharedLogs.SharedLog {
   reads = 0
+  isRefusing = false
 
   constructor (private readonly stored: SharedLogs.KeyedRecord[], private readonly waiting: (() => void)[]) {
     super()
@@ -30,6 +31,7 @@
 
   override async readFrom (_topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
     this.reads += 1
+    if (this.isRefusing) return neverthrow.err({ kind: 'refused', status: 503 })
     if (this.stored.length <= offset && wait > 0) await new Promise<void>(resolve => { this.waiting.push(resolve) })
     return neverthrow.ok({ records: this.stored.slice(offset), nextOffset: this.stored.length })
   }
@@ -85,8 +87,9 @@
     await member.log.readNewest('targets')
     for (member.applied = read._unsafeUnwrap().nextOffset; ;) {
       const batch = await member.log.readFrom('configuration', member.applied, WAIT)
-      if (batch.isErr()) return
-      member.applied = batch.value.nextOffset
+      if (batch.isOk()) member.applied = batch.value.nextOffset
+      else if (batch.error.kind === 'no-answer') return
+      else await new Promise(resolve => setImmediate(resolve))
     }
   }
 
@@ -204,3 +207,17 @@
   assert.deepEqual(group.members.filter(({ applied, host }) => applied !== 2 && host !== failed.host), [])
   for (const { log } of group.members) log.close()
 })
+
+// Guards against a node that keeps the role of the relay, and asks a log in vain that refuses it but serves other nodes.
+test('relay that the log refuses reads through the next one', async () => {
+  const group = await startGroup()
+  const refused = relayOf(group)
+  refused.store.isRefusing = true
+  await group.advance(6_000)
+  const before = refused.store.reads
+  await group.publish('2')
+  await group.advance(1_200)
+  assert.ok(group.members.every(({ applied }) => applied === 2))
+  assert.equal(refused.store.reads, before)
+  for (const { log } of group.members) log.close()
+})
