--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -42,11 +42,12 @@
   /** Reads until `stop` is called. */
   async run (): Promise<void> {
     while (!this.isStopped()) {
-      const { sharedLog } = this.dependencies
+      const { sharedLog, clock } = this.dependencies
       const { topic, pollTimeout } = this.subscription
+      const startedAt = clock.now()
       const read = this.offset === undefined ? await sharedLog.readNewest(topic) : await sharedLog.readFrom(topic, this.offset, pollTimeout)
       if (this.isStopped()) return
-      if (read.isErr()) await this.handleFailure(read.error)
+      if (read.isErr()) await this.handleFailure(read.error, Decisions.Clock.between(startedAt, clock.now()))
       else await this.applyBatch(read.value)
     }
   }
@@ -74,7 +75,8 @@
     if (batch.records.length > 0 && batchDelay > 0) await Timers.setTimeout(batchDelay)
   }
 
-  private async handleFailure (failure: SharedLogs.LogFailure): Promise<void> {
+  /** @param elapsed Time for which the failed read has been waiting. */
+  private async handleFailure (failure: SharedLogs.LogFailure, elapsed: Decisions.Clock.Milliseconds): Promise<void> {
     const { log, clock, random } = this.dependencies
     const { topic } = this.subscription
     if (failure.kind === 'truncated') {
@@ -84,7 +86,7 @@
     }
     if (this.failingSince === undefined) {
       this.failingSince = clock.now()
-      log.warn('shared log does not answer', { topic, failure: failure.kind, detail: failure.kind === 'refused' ? failure.status : failure.detail })
+      log.warn('shared log does not answer', { topic, failure: failure.kind, detail: failure.kind === 'refused' ? failure.status : failure.detail, elapsed: Math.round(elapsed) })
     }
     this.failureCount += 1
     const retryDelay = Math.min(MINIMUM_RETRY_DELAY * 2 ** (this.failureCount - 1), MAXIMUM_RETRY_DELAY)
--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -58,9 +58,10 @@
       log.info('state request to a peer failed', { peer: address, error: result.error.detail })
       return false
     }
+    const contactAge = Math.round(configuration.contactAge(clock.now()))
     const changed = this.mergeState(result.value)
     if (result.value.current) configuration.recordContact(clock.now())
-    if (changed) log.info('state taken over from a peer', { peer: address, version: configuration.version, checksum: configuration.current?.checksum })
+    if (changed) log.info('state taken over from a peer', { peer: address, version: configuration.version, checksum: configuration.current?.checksum, contactAge })
     return changed
   }
 
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -124,8 +124,9 @@
       return
     }
     const before = configuration.version
+    const contactAge = Math.round(configuration.contactAge(clock.now()))
     if (!configuration.replaceIfNewer(read.value, clock.now())) return
-    log.info('configuration in force', { version: read.value.version, checksum: read.value.checksum, before, routes: read.value.routes.length })
+    log.info('configuration in force', { version: read.value.version, checksum: read.value.checksum, before, contactAge, routes: read.value.routes.length })
   }
 
   private applyRegistration (record: SharedLogs.KeyedRecord): void {
