--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,6 +1,7 @@
 /** One proxy node: sends requests of the callers on its VM to targets, and passes requests of all nodes to the backend server on its VM. */
 import * as Decisions from '@jasminedale/decisions'
 import * as Awilix from 'awilix'
+import * as Delays from './delay.js'
 import * as Directories from './directory/directory.js'
 import * as Gateways from './entry/gateway.js'
 import * as HostViews from './entry/host-views.js'
@@ -159,12 +160,12 @@
     const shutdownDeadline = startedAt + settingsState.current.shutdownTimeout - SHUTDOWN_MARGIN
     const inFlight = (): number => gateway.inFlight + hostServer.inFlight + host.running
     // Other nodes may use the local target's capacity until its host stops accepting requests.
-    await delay(HOST_DRAIN_DELAY)
+    await Delays.delay(HOST_DRAIN_DELAY)
     host.startDraining()
-    await delay(CALLER_DRAIN_DELAY - HOST_DRAIN_DELAY)
+    await Delays.delay(CALLER_DRAIN_DELAY - HOST_DRAIN_DELAY)
     // Requests of callers that ignore the readiness check would be aborted at the shutdown timeout.
     servers.stopAccepting()
-    while (clock.now() < shutdownDeadline && inFlight() > 0) await delay(SHUTDOWN_POLL_INTERVAL_MS)
+    while (clock.now() < shutdownDeadline && inFlight() > 0) await Delays.delay(SHUTDOWN_POLL_INTERVAL_MS)
     const abortedCount = inFlight()
     this.close()
     log.info('node stopped', { after: Math.round(clock.now() - startedAt), cut: abortedCount })
@@ -183,10 +184,6 @@
   }
 }
 
-async function delay (duration: number): Promise<void> {
-  await new Promise(resolve => { setTimeout(resolve, duration) })
-}
-
 function wire (dependencies: ProxyDependencies): Cradle {
   const container = Awilix.createContainer<Cradle>({ strict: true })
   container.register({
--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -1,12 +1,14 @@
 /** Reads one topic of the shared log continuously: first the newest record of each key, then each change. */
-import * as Timers from 'node:timers/promises'
 import * as Decisions from '@jasminedale/decisions'
+import * as Delays from '../delay.js'
 import type * as Logs from '../observation/log.js'
 import type * as SharedLogs from './shared-log.js'
 
-/** Bounds of the exponential backoff while the shared log does not answer. */
+/** Bounds of the exponential backoff while the shared log does not answer; the actual delay is shorter by up to half, at random. */
 const MAXIMUM_RETRY_DELAY = Decisions.Clock.milliseconds(800)
 const MINIMUM_RETRY_DELAY = Decisions.Clock.milliseconds(100)
+/** A log that failed is first asked for an answer at once: a read that waits would show only later that it still fails. */
+const WITHOUT_WAIT = Decisions.Clock.milliseconds(0)
 
 export interface FollowerDependencies {
   readonly log: Logs.Log
@@ -17,7 +19,7 @@
 
 export interface Subscription {
   readonly topic: SharedLogs.Topic
-  /** Time for which one read waits for new records. It bounds how long a dead connection goes unnoticed. */
+  /** Time for which one read waits for new records. */
   readonly pollTimeout: Decisions.Clock.Milliseconds
   /** Delay after new records, so that one read returns a series of changes. */
   batchDelay (): Decisions.Clock.Milliseconds
@@ -45,7 +47,7 @@
       const { sharedLog, clock } = this.dependencies
       const { topic, pollTimeout } = this.subscription
       const startedAt = clock.now()
-      const read = this.offset === undefined ? await sharedLog.readNewest(topic) : await sharedLog.readFrom(topic, this.offset, pollTimeout)
+      const read = this.offset === undefined ? await sharedLog.readNewest(topic) : await sharedLog.readFrom(topic, this.offset, this.failingSince === undefined ? pollTimeout : WITHOUT_WAIT)
       if (this.isStopped()) return
       if (read.isErr()) await this.handleFailure(read.error, Decisions.Clock.between(startedAt, clock.now()))
       else await this.applyBatch(read.value)
@@ -72,7 +74,7 @@
     for (const record of newestOfEachKey(batch.records)) this.subscription.apply(record)
     this.subscription.onBatchApplied()
     const batchDelay = this.subscription.batchDelay()
-    if (batch.records.length > 0 && batchDelay > 0) await Timers.setTimeout(batchDelay)
+    if (batch.records.length > 0 && batchDelay > 0) await Delays.delay(batchDelay)
   }
 
   /** @param elapsed Time for which the failed read has been waiting. */
@@ -90,7 +92,7 @@
     }
     this.failureCount += 1
     const retryDelay = Math.min(MINIMUM_RETRY_DELAY * 2 ** (this.failureCount - 1), MAXIMUM_RETRY_DELAY)
-    await Timers.setTimeout(retryDelay * (0.5 + random.fraction()))
+    await Delays.delay(retryDelay * (1 - 0.5 * random.fraction()))
   }
 }
 
--- a/packages/proxy/src/state/registrar.ts
+++ b/packages/proxy/src/state/registrar.ts
@@ -1,6 +1,6 @@
 /** Writes the local target's registration to the shared log and retries until the log holds it. */
-import * as Timers from 'node:timers/promises'
 import * as Decisions from '@jasminedale/decisions'
+import * as Delays from '../delay.js'
 import type * as Registrations from '../directory/registration.js'
 import type * as Logs from '../observation/log.js'
 import * as RegistrationRecords from './registration-record.js'
@@ -47,7 +47,7 @@
         continue
       }
       this.log.warn('registration of the local target not published; trying again', { target: registration.target, failure: result.error.kind })
-      await Timers.setTimeout(RETRY_DELAY * (0.5 + this.random.fraction()))
+      await Delays.delay(RETRY_DELAY * (0.5 + this.random.fraction()))
     }
   }
 }
--- a/packages/proxy/src/state/relay-selector.ts
+++ b/packages/proxy/src/state/relay-selector.ts
@@ -8,8 +8,8 @@
 import * as Decisions from '@jasminedale/decisions'
 import type * as SharedLogs from './shared-log.js'
 
-/** With fewer nodes in a data center, each reads the log itself: a relay would save nothing, since it reads more often. */
-const GROUP_MINIMUM = 10
+/** A node that is alone in its data center reads the log itself. */
+const GROUP_MINIMUM = 2
 /** Data centers with twice this number of nodes are divided into groups, which bounds the work of a relay. */
 const GROUP_SIZE = 32
 /** Time since the last contact of a relay with the log after which its group no longer relies on it. */
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -19,8 +19,11 @@
 const ANNOUNCED_CONTACT_AGE_MAXIMUM_MS = 1_200
 /** A node that has become the relay may still wait in a long read; after this time without contact it checks the log by another one. */
 const CHECKED_CONTACT_AGE_MS = 1_000
-/** Long polling of a relay. Short, since an answer is also the proof of its contact with the log. */
-const RELAY_POLL_TIMEOUT: Readonly<Record<SharedLogs.Topic, Decisions.Clock.Milliseconds>> = {
+/**
+ * Longest wait of one read of the log itself. An answer proves the contact with the log; without one, the connection may
+ * have died, and the node would not see a new version until the read has failed.
+ */
+const POLL_TIMEOUT: Readonly<Record<SharedLogs.Topic, Decisions.Clock.Milliseconds>> = {
   configuration: Decisions.Clock.milliseconds(800), targets: Decisions.Clock.seconds(2)
 }
 const DIRECT_READ_TIMEOUT = Decisions.Clock.milliseconds(0)
@@ -91,12 +94,11 @@
     const deadline = Decisions.Clock.add(clock.now(), wait)
     while (!this.isClosed) {
       // Two relays that read from each other would both miss what is new.
-      if (this.isRelay()) return await this.readStore(topic, offset, RELAY_POLL_TIMEOUT[topic])
-      const relay = this.activeRelay()
-      if (relay === undefined) return await this.readStore(topic, offset, wait)
+      const relay = this.isRelay() ? undefined : this.activeRelay()
+      if (relay === undefined) return await this.readStore(topic, offset, Decisions.Clock.milliseconds(Math.min(wait, POLL_TIMEOUT[topic])))
       if (relay.offsets[topic] > offset) return await this.readRelay(relay.host, topic, offset)
       if (clock.now() >= deadline) return neverthrow.ok({ records: [], nextOffset: offset })
-      await new Promise<void>(resolve => { this.wakeUps.push(resolve) })
+      await this.waitForChange(Math.min(deadline, relay.contactAt + RelaySelectors.CONTACT_AGE_MAXIMUM + 1) - clock.now())
     }
     return neverthrow.err({ kind: 'no-answer', detail: 'the log was closed' })
   }
@@ -178,6 +180,17 @@
     if (read.isErr()) this.dependencies.log.info('relay cannot reach the shared log', { failure: read.error.kind, contactAge: Math.round(this.contactAge()) })
   }
 
+  /** Waits until a relay announces itself or the source of the log may have changed, for at most `limit` ms. */
+  private async waitForChange (limit: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, limit)
+      this.wakeUps.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
   private wakeReaders (): void {
     const wakeUps = this.wakeUps
     this.wakeUps = []
--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -15,7 +15,7 @@
   readonly log: Logs.Log
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly directory: Directories.Directory
-  readonly nodeRpc: NodeRpcs.NodeRpc
+  readonly nodeRpc: Pick<NodeRpcs.NodeRpc, 'addMethod' | 'call'>
 }
 
 /** Version of the configuration in force at the requesting node, and the sequence number of each registration it has. */
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -21,10 +21,8 @@
 /** Parses a record of topic `configuration`; undefined when the record is not the configuration. */
 export type ConfigurationReader = (record: SharedLogs.KeyedRecord) => neverthrow.Result<Routes.RouteConfiguration, ConfigurationFailure> | undefined
 
-/** Longest time for which a dead connection to the log goes unnoticed, unless a response of another node shows a newer version. */
-const CONFIGURATION_POLL_TIMEOUT = Decisions.Clock.seconds(6)
-/** Longer than for the configuration: nodes also learn of changed targets when hosts refuse requests. */
-const TARGETS_POLL_TIMEOUT = Decisions.Clock.seconds(20)
+/** Time after which a follower checks again whether it reads through a relay, while there is nothing new. */
+const POLL_TIMEOUT = Decisions.Clock.seconds(6)
 /** Registrations come in bursts when a service is deployed; one read returns many of them. */
 const TARGETS_BATCH_DELAY = Decisions.Clock.milliseconds(700)
 /** The same in the first seconds of a process: when a whole fleet starts, all targets register, and each node reads all of that. */
@@ -89,7 +87,7 @@
     const { configuration, clock } = this.dependencies
     return new Followers.Follower(this.dependencies, {
       topic: 'configuration',
-      pollTimeout: CONFIGURATION_POLL_TIMEOUT,
+      pollTimeout: POLL_TIMEOUT,
       batchDelay: () => Decisions.Clock.milliseconds(0),
       apply: record => { this.applyConfiguration(record) },
       onBatchApplied: () => { configuration.recordContact(clock.now()) }
@@ -101,7 +99,7 @@
     const startedAt = clock.now()
     return new Followers.Follower(this.dependencies, {
       topic: 'targets',
-      pollTimeout: TARGETS_POLL_TIMEOUT,
+      pollTimeout: POLL_TIMEOUT,
       batchDelay: () => clock.now() - startedAt < STARTUP_DURATION ? STARTUP_BATCH_DELAY : TARGETS_BATCH_DELAY,
       apply: record => { this.applyRegistration(record) },
       onBatchApplied: () => { this.completeDirectoryRead() }
