--- a/packages/proxy/src/transport/connection-pool.ts
+++ b/packages/proxy/src/transport/connection-pool.ts
@@ -40,6 +40,11 @@
     return true
   }
 
+  /** Closes all idle connections. */
+  closeIdle (): void {
+    for (const socket of Object.values(this.freeSockets).flat()) socket?.destroy()
+  }
+
   override reuseSocket (socket: Stream.Duplex, request: Http.ClientRequest): void {
     socket.off('data', destroySocket)
     setIdleTimeout(socket, 0)
