--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -103,7 +103,7 @@
       onWithdrawn: listener => { listeners.push(listener) }
     }).then(hostOutcome => {
       views.recordResponse(target, host.report(), clock.now())
-      this.avoidAbsentTarget(target, hostOutcome)
+      this.avoidUnavailableTarget(target, hostOutcome)
       return hostOutcome
     })
     return { target, outcome, isQueued: () => state.isQueued, withdraw: () => { for (const listener of listeners) listener() } }
@@ -164,7 +164,7 @@
           this.recordNeighbours(registration, report, now)
           onVersionSeen(report.version, host)
         }
-        this.avoidAbsentTarget(target, outcome)
+        this.avoidUnavailableTarget(target, outcome)
         return outcome
       }
     }
@@ -180,10 +180,13 @@
     }
   }
 
-  /** Avoids a target that its host does not serve, until the directory has been updated, which takes up to a second. */
-  private avoidAbsentTarget (target: Decisions.Ids.TargetId, outcome: HostedRequests.Outcome): void {
+  /** Avoids a target that takes no request now: until its limit allows one, or the directory has been updated, which takes up to a second. */
+  private avoidUnavailableTarget (target: Decisions.Ids.TargetId, outcome: HostedRequests.Outcome): void {
     if (outcome.kind !== 'refused') return
     switch (outcome.reason) {
+      case 'target-limited':
+        this.dependencies.views.avoid(target, Decisions.Clock.milliseconds(outcome.retryAfter), this.dependencies.clock.now())
+        break
       case 'node-leaving':
       case 'target-unknown':
       case 'target-leaving':
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -13,8 +13,7 @@
 import * as CircuitBreakers from './circuit-breaker.js'
 import type * as HostReports from './host-report.js'
 import type * as LocalTargets from './local-target.js'
-import * as ServiceTimes from './service-time.js'
-import * as Slots from './slots.js'
+import * as TargetCapacities from './target-capacity.js'
 import * as HostedRequests from './hosted-request.js'
 
 const SERVER_ERROR = 500
@@ -55,8 +54,7 @@
   /** Lower-case names of request headers that are not passed on to the target. */
   private readonly strippedHeaders: ReadonlySet<string>
   private readonly circuitBreaker = new CircuitBreakers.CircuitBreaker()
-  private readonly slots = new Slots.Slots()
-  private readonly serviceTime = new ServiceTimes.ServiceTime()
+  private readonly capacity: TargetCapacities.TargetCapacity
   private readonly connections = new ConnectionPools.ConnectionPool()
   private readonly responseBudget = new BufferBudgets.BufferBudget(RESPONSE_BUDGET_BYTES)
   private isDraining = false
@@ -67,13 +65,14 @@
 
   constructor (dependencies: HostDependencies) {
     this.dependencies = dependencies
+    this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock)
     this.strippedHeaders = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
   }
 
-  /** Called when the local target was replaced or restarted: sets its slots, and resets the circuit breaker, whose state does not apply to it. */
+  /** Called when the local target was replaced or restarted: sets its slots, and resets the circuit breaker and the rate limit, which do not apply to it. */
   resetTarget (slots: number): void {
     this.circuitBreaker.reset()
-    this.slots.resize(slots)
+    this.capacity.reset(slots)
   }
 
   /** Records that a request from this VM to another service failed. It may have been a call of the local target. */
@@ -88,18 +87,18 @@
 
   /** Number of requests that hold a slot of the target. */
   get running (): number {
-    return this.slots.busy
+    return this.capacity.running
   }
 
   report (): HostReports.HostReport {
     const now = this.dependencies.clock.now()
     return {
-      running: this.slots.busy,
-      queued: this.slots.queued,
-      slots: this.slots.capacity,
+      running: this.capacity.running,
+      queued: this.capacity.queued,
+      slots: this.capacity.slotCount,
       timeUntilProbe: this.circuitBreaker.timeUntilProbe(now),
       failures: this.circuitBreaker.failures,
-      serviceTime: this.serviceTime.mean,
+      serviceTime: this.capacity.serviceTime.mean,
       version: this.dependencies.version()
     }
   }
@@ -108,15 +107,19 @@
   async run (request: HostedRequests.HostedRequest): Promise<HostedRequests.Outcome> {
     const admission = this.admit(request)
     if (typeof admission !== 'string') return this.reportRefusal(request, admission)
-    const slotResult = await this.acquireSlot(request)
+    const slotResult = await this.capacity.acquire(request)
     if (slotResult !== 'started') {
       this.circuitBreaker.recordInconclusive(admission)
-      return this.reportRefusal(request, HostedRequests.refusal(slotResult, BUSY_RETRY_AFTER_MS))
+      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed)))
     }
+    let wasSent = true
     try {
-      return await this.runInSlot(request, admission)
+      const body = await request.commit()
+      const refusal = this.checkCommitted(request, body, admission)
+      wasSent = body !== undefined && refusal === undefined
+      return body === undefined || refusal !== undefined ? this.refuseCommitted(request, refusal, admission) : await this.runInSlot(request, body, admission)
     } finally {
-      this.slots.release(this.serviceTime.mean, this.dependencies.clock.now())
+      this.capacity.release(wasSent)
     }
   }
 
@@ -139,37 +142,17 @@
     return undefined
   }
 
-  /** Takes a free slot, or waits in the queue for one. */
-  private async acquireSlot (request: HostedRequests.HostedRequest): Promise<'started' | 'target-busy' | 'too-late'> {
-    const now = this.dependencies.clock.now()
-    if (this.slots.hasFreeSlot()) {
-      this.slots.acquire()
-      return 'started'
-    }
-    if (!request.mayQueue) return 'target-busy'
-    if (!this.slots.mayQueue(request, this.serviceTime.mean, now)) return 'too-late'
-    return await new Promise(resolve => {
-      const queuedRequest = {
-        priority: request.priority,
-        deadline: request.deadline,
-        objectiveDeadline: request.objectiveDeadline,
-        start: () => { resolve('started') },
-        expire: () => { resolve('too-late') }
-      }
-      this.slots.enqueue(queuedRequest, this.serviceTime.mean, now)
-      request.onQueued()
-      request.onWithdrawn(() => { if (this.slots.remove(queuedRequest)) resolve('too-late') })
-    })
+  /** The refusal if the target has left or failed while the request was in the queue or waited for the confirmation. */
+  private checkCommitted (request: HostedRequests.HostedRequest, body: Buffer | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome | undefined {
+    return this.checkAvailability(request) ?? (admission === 'pass' ? this.checkBreaker(request) : undefined) ?? this.checkQuarantine(request, body)
   }
 
-  private async runInSlot (request: HostedRequests.HostedRequest, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
-    const body = await request.commit()
-    // The target may have left or failed while the request was in the queue or waited for the confirmation.
-    const refusal = this.checkAvailability(request) ?? (admission === 'pass' ? this.checkBreaker(request) : undefined) ?? this.checkQuarantine(request, body)
-    if (body === undefined || refusal !== undefined) {
-      this.circuitBreaker.recordInconclusive(admission)
-      return this.reportRefusal(request, refusal ?? HostedRequests.refusal('too-late', BUSY_RETRY_AFTER_MS))
-    }
+  private refuseCommitted (request: HostedRequests.HostedRequest, refusal: HostedRequests.Outcome | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome {
+    this.circuitBreaker.recordInconclusive(admission)
+    return this.reportRefusal(request, refusal ?? HostedRequests.refusal('too-late', BUSY_RETRY_AFTER_MS))
+  }
+
+  private async runInSlot (request: HostedRequests.HostedRequest, body: Buffer, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
     const startedAt = this.dependencies.clock.now()
     const exchange = this.send(request, body, startedAt)
     const state = { isWithdrawn: false }
@@ -239,6 +222,8 @@
     if (metadata.request !== undefined && metadata.request !== request.id) {
       return { kind: 'failed', reason: 'response-invalid', detail: `response belongs to request ${metadata.request}` }
     }
+    // A response without the id may be a late copy, or not from the target.
+    if (metadata.request === request.id) this.applyStatements(request, metadata)
     if (metadata.isMisdirected) return HostedRequests.refusal('target-changed', ABSENT_RETRY_AFTER_MS)
     if (metadata.isNotExecuted) return HostedRequests.refusal('target-shed', BUSY_RETRY_AFTER_MS)
     if (response.status < SERVER_ERROR && (!metadata.isSigned || metadata.isAltered)) {
@@ -247,6 +232,20 @@
     return { kind: 'answered', response }
   }
 
+  /** Applies what the target states about itself in a response. */
+  private applyStatements ({ id, target }: HostedRequests.HostedRequest, { rateLimit }: Dialects.TargetResponseMetadata): void {
+    const { log, metrics } = this.dependencies
+    const before = this.capacity.rate
+    if (rateLimit.isErr()) {
+      log.warn('limit that the target states cannot be read; the limit in force stays', { request: id, target, detail: rateLimit.error.detail, limit: before })
+      return
+    }
+    if (before === rateLimit.value) return
+    this.capacity.setRate(rateLimit.value)
+    metrics.setTargetLimit(rateLimit.value)
+    log.info('limit that the target states changed', { request: id, target, limit: rateLimit.value, before, running: this.capacity.running, queued: this.capacity.queued })
+  }
+
   /**
    * Counts a target as failing if it has sent no response at all since the request began, which is the latency objective
    * ago. A target that has responded to other requests may just take long for this one.
@@ -272,7 +271,7 @@
         }
         metrics.recordTargetRequest(isError ? 'error' : 'success', elapsed)
         if (!isError) {
-          this.serviceTime.add(elapsed)
+          this.capacity.serviceTime.add(elapsed)
           this.recordSuccess(request, admission)
           break
         }
@@ -284,7 +283,7 @@
       }
       case 'failed':
         metrics.recordTargetRequest(outcome.reason, elapsed)
-        if (outcome.reason === 'timed-out') this.serviceTime.addLowerBound(elapsed)
+        if (outcome.reason === 'timed-out') this.capacity.serviceTime.addLowerBound(elapsed)
         // A deadline shorter than the latency objective says nothing about the target.
         if (outcome.reason === 'timed-out' && elapsed < request.latencyObjective) this.circuitBreaker.recordInconclusive(admission)
         else this.recordFailure(request, admission)
@@ -295,7 +294,7 @@
         break
       case 'withdrawn':
         metrics.recordTargetRequest('withdrawn', elapsed)
-        this.serviceTime.addLowerBound(elapsed)
+        this.capacity.serviceTime.addLowerBound(elapsed)
         this.circuitBreaker.recordInconclusive(admission)
         break
     }
--- a/packages/proxy/src/host/hosted-request.ts
+++ b/packages/proxy/src/host/hosted-request.ts
@@ -35,11 +35,11 @@
 /** Reasons with which a host refuses a request. A refused request is certain not to have run. */
 export type RefusalReason =
   | 'node-starting' | 'node-leaving'
-  | 'target-unknown' | 'target-leaving' | 'target-closed' | 'target-busy' | 'target-shed' | 'target-changed' | 'target-unreachable'
+  | 'target-unknown' | 'target-leaving' | 'target-closed' | 'target-busy' | 'target-limited' | 'target-shed' | 'target-changed' | 'target-unreachable'
   | 'too-late' | 'host-unreachable' | 'no-target' | 'request-blocked'
 
 const REFUSAL_REASONS: ReadonlySet<string> = new Set<RefusalReason>([
-  'node-starting', 'node-leaving', 'target-unknown', 'target-leaving', 'target-closed', 'target-busy', 'target-shed',
+  'node-starting', 'node-leaving', 'target-unknown', 'target-leaving', 'target-closed', 'target-busy', 'target-limited', 'target-shed',
   'target-changed', 'target-unreachable', 'too-late', 'host-unreachable', 'no-target', 'request-blocked'
 ])
 
--- a/packages/proxy/src/host/slots.ts
+++ b/packages/proxy/src/host/slots.ts
@@ -1,5 +1,6 @@
-/** Concurrency limit of the local target, with a queue ordered by priority and then by arrival. */
+/** Concurrency and rate limit of the local target, with a queue ordered by priority and then by arrival. */
 import type * as Decisions from '@jasminedale/decisions'
+import type * as RateLimits from './rate-limit.js'
 
 export interface QueuedRequest {
   /** Priority under overload; 0 is the most urgent. */
@@ -18,6 +19,8 @@
   private limit = 1
   private queue: QueuedRequest[] = []
 
+  constructor (private readonly rateLimit: RateLimits.RateLimit) {}
+
   /** Number of slots in use. */
   get busy (): number {
     return this.busyCount
@@ -37,13 +40,19 @@
   }
 
   /** Whether a request may start at once, without overtaking requests in the queue. */
-  hasFreeSlot (): boolean {
-    return this.busyCount < this.limit && this.queue.length === 0
+  mayStart (now: Decisions.Clock.Milliseconds): boolean {
+    return this.busyCount < this.limit && this.queue.length === 0 && this.rateLimit.timeUntilToken(now) === 0
   }
 
-  /** Takes a free slot. The caller must have checked `hasFreeSlot`. */
-  acquire (): void {
+  /** Takes a free slot. The caller must have checked `mayStart`. */
+  acquire (now: Decisions.Clock.Milliseconds): void {
     this.busyCount += 1
+    this.rateLimit.take(now)
+  }
+
+  /** Milliseconds until the rate limit lets the next queued request take a free slot; undefined if no slot is free or none waits. */
+  timeUntilStart (now: Decisions.Clock.Milliseconds): number | undefined {
+    return this.busyCount < this.limit && this.queue.length > 0 ? this.rateLimit.timeUntilToken(now) : undefined
   }
 
   /** Whether a request that enters the queue now is expected to finish in time. */
@@ -53,7 +62,7 @@
 
   /** Expected time in ms until a request with `ahead` others before it starts. */
   expectedWait (ahead: number, meanServiceTime: Decisions.Clock.Milliseconds): number {
-    return (ahead + 1) * meanServiceTime / this.limit
+    return (ahead + 1) * Math.max(meanServiceTime / this.limit, this.rateLimit.interval)
   }
 
   /** Adds a request, and evicts less urgent ones that are no longer expected to finish in time because of it. */
@@ -76,17 +85,22 @@
     return index >= 0
   }
 
-  /** Frees a slot and starts queued requests. Those that can no longer meet their deadline expire. */
+  /** Frees a slot and starts queued requests; see `startQueued`. */
   release (meanServiceTime: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): void {
     this.busyCount = Math.max(0, this.busyCount - 1)
-    while (this.busyCount < this.limit) {
+    this.startQueued(meanServiceTime, now)
+  }
+
+  /** Starts queued requests while there are slots and the rate limit allows it. Those that can no longer meet their deadline expire. */
+  startQueued (meanServiceTime: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): void {
+    while (this.busyCount < this.limit && this.rateLimit.timeUntilToken(now) === 0) {
       const next = this.queue.shift()
       if (next === undefined) return
       if (now + meanServiceTime > next.deadline) {
         next.expire()
         continue
       }
-      this.busyCount += 1
+      this.acquire(now)
       next.start()
     }
   }
--- /dev/null
+++ b/packages/proxy/src/host/target-capacity.ts
@@ -0,0 +1,104 @@
+/** What the local target can take: its slots, its rate limit, and the queue of requests that wait for both. */
+import type * as Decisions from '@jasminedale/decisions'
+import type * as HostedRequests from './hosted-request.js'
+import * as RateLimits from './rate-limit.js'
+import * as ServiceTimes from './service-time.js'
+import * as Slots from './slots.js'
+
+/** Why a request got no slot. */
+export type CapacityRefusal = Extract<HostedRequests.RefusalReason, 'target-busy' | 'target-limited' | 'too-late'>
+
+export class TargetCapacity {
+  readonly serviceTime = new ServiceTimes.ServiceTime()
+  private readonly rateLimit = new RateLimits.RateLimit()
+  private readonly slots = new Slots.Slots(this.rateLimit)
+  /** Starts queued requests that wait for the rate limit. */
+  private startTimer: NodeJS.Timeout | undefined
+
+  constructor (private readonly clock: Decisions.Clock.Clock) {}
+
+  /** Number of requests that hold a slot. */
+  get running (): number {
+    return this.slots.busy
+  }
+
+  /** Number of requests that wait for a slot. */
+  get queued (): number {
+    return this.slots.queued
+  }
+
+  get slotCount (): number {
+    return this.slots.capacity
+  }
+
+  /** Requests per second that the target takes, as it stated; undefined without a limit. */
+  get rate (): number | undefined {
+    return this.rateLimit.rate
+  }
+
+  /** Milliseconds until the rate limit allows another request. */
+  get timeUntilAllowed (): number {
+    return this.rateLimit.timeUntilToken(this.clock.now())
+  }
+
+  /** Sets the slots of another process of the target, which has stated no limit yet. */
+  reset (slots: number): void {
+    this.slots.resize(slots)
+    this.setRate(undefined)
+  }
+
+  /** Sets the limit that the target stated in its last response. */
+  setRate (rate: number | undefined): void {
+    this.rateLimit.state(rate, this.clock.now())
+    this.startQueued()
+  }
+
+  /** Takes a free slot, or waits in the queue for one. Each slot must be given back with `release`. */
+  async acquire (request: HostedRequests.HostedRequest): Promise<'started' | CapacityRefusal> {
+    const now = this.clock.now()
+    if (this.slots.mayStart(now)) {
+      this.slots.acquire(now)
+      return 'started'
+    }
+    const isLimited = this.timeUntilAllowed > 0
+    if (!request.mayQueue) return isLimited ? 'target-limited' : 'target-busy'
+    // Other targets may have no limit, so the entry node is not told that the request is too late everywhere.
+    if (!this.slots.mayQueue(request, this.serviceTime.mean, now)) return isLimited ? 'target-limited' : 'too-late'
+    return await this.enqueue(request)
+  }
+
+  /** @param wasSent Whether the target got the request, which counts against its limit. */
+  release (wasSent: boolean): void {
+    if (!wasSent) this.rateLimit.giveBack()
+    this.slots.release(this.serviceTime.mean, this.clock.now())
+    this.scheduleStart()
+  }
+
+  private async enqueue (request: HostedRequests.HostedRequest): Promise<'started' | CapacityRefusal> {
+    return await new Promise(resolve => {
+      const queuedRequest = {
+        priority: request.priority,
+        deadline: request.deadline,
+        objectiveDeadline: request.objectiveDeadline,
+        start: () => { resolve('started') },
+        expire: () => { resolve('too-late') }
+      }
+      this.slots.enqueue(queuedRequest, this.serviceTime.mean, this.clock.now())
+      this.scheduleStart()
+      request.onQueued()
+      request.onWithdrawn(() => { if (this.slots.remove(queuedRequest)) resolve('too-late') })
+    })
+  }
+
+  private startQueued (): void {
+    this.slots.startQueued(this.serviceTime.mean, this.clock.now())
+    this.scheduleStart()
+  }
+
+  /** Lets the next queued request start when the rate limit allows it. */
+  private scheduleStart (): void {
+    clearTimeout(this.startTimer)
+    const delay = this.slots.timeUntilStart(this.clock.now())
+    if (delay !== undefined) this.startTimer = setTimeout(() => { this.startQueued() }, Math.ceil(delay))
+  }
+}
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -36,6 +36,10 @@
     name: 'jasminedale_host_refusals_total', help: 'Requests that this host refused without running them.', labelNames: ['reason'], registers: [this.registry]
   })
 
+  private readonly targetLimit = new Prometheus.Gauge({
+    name: 'jasminedale_target_limit_per_second', help: 'Requests per second that the local target takes, as it states; infinite without a limit.', registers: [this.registry]
+  })
+
   private readonly storeCalls = new Prometheus.Counter({
     name: 'jasminedale_store_calls_total', help: 'Calls to the shared log.', labelNames: ['call', 'result'], registers: [this.registry]
   })
@@ -73,6 +77,11 @@
     this.hostRefusals.inc({ reason })
   }
 
+  /** Sets the limit that the local target states, in requests per second; undefined without a limit. */
+  setTargetLimit (limit: number | undefined): void {
+    this.targetLimit.set(limit ?? Infinity)
+  }
+
   recordStoreCall (call: string, result: string): void {
     this.storeCalls.inc({ call, result })
   }
--- a/packages/proxy/src/transport/dialect.ts
+++ b/packages/proxy/src/transport/dialect.ts
@@ -1,5 +1,6 @@
 /** Interface for the header fields by which callers and backend servers of a deployment exchange metadata. An adapter implements it. */
 import type * as Decisions from '@jasminedale/decisions'
+import type * as neverthrow from 'neverthrow'
 import type * as Exchanges from './exchange.js'
 
 /** Metadata of a caller's request. */
@@ -31,8 +32,13 @@
   readonly isSigned: boolean
   /** Whether the body was changed in transit, for example compressed. */
   readonly isAltered: boolean
+  /** Requests per second that the backend server takes from all nodes together; undefined if it states no limit. */
+  readonly rateLimit: neverthrow.Result<number | undefined, StatementFailure>
 }
 
+/** A field of a backend server's response cannot be read. */
+export interface StatementFailure { readonly kind: 'statement-invalid', readonly detail: string }
+
 export abstract class Dialect {
   /** Lower-case names of the fields that callers cannot set. */
   abstract readonly reservedFields: ReadonlySet<string>
--- a/packages/proxy/tests/host/slots.test.ts
+++ b/packages/proxy/tests/host/slots.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import { test } from 'node:test'
 import * as Decisions from '@jasminedale/decisions'
+import * as RateLimits from '../../src/host/rate-limit.js'
 import * as Slots from '../../src/host/slots.js'
 
 const at = Decisions.Clock.milliseconds
@@ -11,9 +12,9 @@
 }
 
 function createFullSlots (limit: number): Slots.Slots {
-  const slots = new Slots.Slots()
+  const slots = new Slots.Slots(new RateLimits.RateLimit())
   slots.resize(limit)
-  while (slots.hasFreeSlot()) slots.acquire()
+  while (slots.mayStart(at(0))) slots.acquire(at(0))
   return slots
 }
 
@@ -76,3 +77,29 @@
   slots.enqueue(queuedRequest('urgent', 0, 5_000, events), MEAN, at(0))
   assert.deepEqual(events, ['expire displaced'])
 })
+
+// Guards against queued requests that start faster than the target allows because slots are free.
+test('queued requests start at the rate of the limit', () => {
+  const events: string[] = []
+  const rateLimit = new RateLimits.RateLimit()
+  const slots = new Slots.Slots(rateLimit)
+  slots.resize(3)
+  rateLimit.state(2, at(0))
+  assert.equal(slots.mayStart(at(0)), false)
+  for (const name of ['a', 'b']) slots.enqueue(queuedRequest(name, 1, 5_000, events), MEAN, at(0))
+  assert.equal(slots.timeUntilStart(at(0)), 500)
+  slots.startQueued(MEAN, at(500))
+  assert.deepEqual(events, ['start a'])
+  assert.equal(slots.timeUntilStart(at(500)), 500)
+})
+
+// Guards against a queue that the limit makes so long that its requests miss their deadlines.
+test('request that the limit delays beyond its deadline does not queue', () => {
+  const rateLimit = new RateLimits.RateLimit()
+  const slots = new Slots.Slots(rateLimit)
+  slots.resize(3)
+  rateLimit.state(2, at(0))
+  const [soon, later] = [300, 1_000].map(deadline => ({ priority: 1, deadline: at(deadline), objectiveDeadline: at(deadline) }))
+  assert.equal(soon !== undefined && slots.mayQueue(soon, MEAN, at(0)), false)
+  assert.equal(later !== undefined && slots.mayQueue(later, MEAN, at(0)), true)
+})
--- a/packages/proxy/tests/support/stub-dialect.ts
+++ b/packages/proxy/tests/support/stub-dialect.ts
@@ -1,4 +1,5 @@
 /** Dialect that reads and writes no headers and accepts every response. */
+import * as neverthrow from 'neverthrow'
 import * as Dialects from '../../src/transport/dialect.js'
 
 export class StubDialect extends Dialects.Dialect {
@@ -13,7 +14,7 @@
   }
 
   readTargetMetadata (): Dialects.TargetResponseMetadata {
-    return { isNotExecuted: false, isMisdirected: false, isSigned: true, isAltered: false }
+    return { isNotExecuted: false, isMisdirected: false, isSigned: true, isAltered: false, rateLimit: neverthrow.ok(undefined) }
   }
 
   retryFields (): string[] {
