--- a/packages/proxy/src/directory/registration.ts
+++ b/packages/proxy/src/directory/registration.ts
@@ -19,13 +19,13 @@
 }
 
 /**
- * Whether `left` is newer than `right`: by incarnation, then by sequence number, then by state in the order ready,
- * leaving, gone.
+ * Whether `left` is newer than `right`: by incarnation, then by state in the order ready, leaving, gone, then by sequence
+ * number. A target that leaves does not become ready again within one incarnation.
  */
 export function isNewer (left: Registration, right: Registration): boolean {
   if (left.incarnation !== right.incarnation) return left.incarnation > right.incarnation
-  if (left.sequence !== right.sequence) return left.sequence > right.sequence
-  return STATE_ORDER[left.state] > STATE_ORDER[right.state]
+  if (left.state !== right.state) return STATE_ORDER[left.state] > STATE_ORDER[right.state]
+  return left.sequence > right.sequence
 }
 
 const STATE_ORDER: Readonly<Record<TargetState, number>> = { ready: 0, leaving: 1, gone: 2 }
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -7,6 +7,7 @@
 import type * as Hosts from '../host/host.js'
 import type * as HostedRequests from '../host/hosted-request.js'
 import type * as ConnectionPools from '../transport/connection-pool.js'
+import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
 import type * as Requests from './request.js'
 import type * as HostViews from './host-views.js'
@@ -35,6 +36,7 @@
   readonly callerService: Decisions.Ids.Service
   readonly views: HostViews.HostViews
   readonly directory: Directories.Directory
+  readonly dialect: Dialects.Dialect
   readonly connections: ConnectionPools.ConnectionPool
   /** Called with the configuration version in force on another node. */
   readonly onVersionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
@@ -165,6 +167,7 @@
           onVersionSeen(report.version, host)
         }
         this.avoidUnavailableTarget(target, outcome)
+        if (outcome.kind === 'answered') this.recordLeaving(registration, outcome.response)
         return outcome
       }
     }
@@ -180,6 +183,12 @@
     }
   }
 
+  /** Keeps requests away from a target that is leaving even if its host is restarted and does not know that. */
+  private recordLeaving (registration: Registrations.Registration, response: Exchanges.Response): void {
+    const { dialect, directory } = this.dependencies
+    if (dialect.readTargetMetadata(response).isLeaving) directory.merge({ ...registration, state: 'leaving' })
+  }
+
   /** Avoids a target that takes no request now: until its limit allows one, or the directory has been updated, which takes up to a second. */
   private avoidUnavailableTarget (target: Decisions.Ids.TargetId, outcome: HostedRequests.Outcome): void {
     if (outcome.kind !== 'refused') return
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -47,6 +47,8 @@
   readonly version: () => Decisions.Ids.Version
   /** Called after each failure, which trips the circuit breaker or keeps it tripped, and when it resets. */
   readonly onBreakerChanged: (target: Decisions.Ids.TargetId, report: HostReports.HostReport) => void
+  /** Called with each response in which the target states that it is leaving. */
+  readonly onTargetLeaving: (target: Decisions.Ids.TargetId) => void
 }
 
 export class Host {
@@ -233,8 +235,9 @@
   }
 
   /** Applies what the target states about itself in a response. */
-  private applyStatements ({ id, target }: HostedRequests.HostedRequest, { rateLimit }: Dialects.TargetResponseMetadata): void {
-    const { log, metrics } = this.dependencies
+  private applyStatements ({ id, target }: HostedRequests.HostedRequest, { rateLimit, isLeaving }: Dialects.TargetResponseMetadata): void {
+    const { log, metrics, onTargetLeaving } = this.dependencies
+    if (isLeaving) onTargetLeaving(target)
     const before = this.capacity.rate
     if (rateLimit.isErr()) {
       log.warn('limit that the target states cannot be read; the limit in force stays', { request: id, target, detail: rateLimit.error.detail, limit: before })
--- a/packages/proxy/src/host/local-target.ts
+++ b/packages/proxy/src/host/local-target.ts
@@ -50,6 +50,13 @@
     return isUnchanged ? 'unchanged' : 'changed'
   }
 
+  /** Records that the current target has stated in a response that it is leaving. Returns whether that is new. */
+  recordLeaving (target: Decisions.Ids.TargetId): boolean {
+    if (this.current?.target !== target || this.current.state !== 'ready') return false
+    this.current = { ...this.current, state: 'leaving' }
+    return true
+  }
+
   /**
    * Records that a target has deregistered; later announcements of the same process are outdated. Returns whether it
    * was the current target.
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -31,8 +31,8 @@
     const { localTarget, log, host, directory, views } = this.dependencies
     const previous = localTarget.announcement
     const known = directory.get(announcement.target)
-    const outdated = known !== undefined && known.state !== 'ready' && known.sequence >= announcement.sequence && known.incarnation >= announcement.incarnation
-    const result = outdated ? 'outdated' : localTarget.applyAnnouncement(announcement)
+    const outdated = known !== undefined && known.state !== 'ready' && known.incarnation >= announcement.incarnation
+    const result = outdated && (announcement.state === 'ready' || known.sequence >= announcement.sequence) ? 'outdated' : localTarget.applyAnnouncement(announcement)
     if (result === 'unchanged') return
     const { target, state, sequence, incarnation } = announcement
     log.info(`announcement of the local target: ${result}`, { target, state, sequence, incarnation, before: previous?.target, stateBefore: previous?.state })
@@ -65,6 +65,14 @@
     log.info('local target adopted from its registration', { target, incarnation, sequence })
   }
 
+  /** Handles a response in which the local target states that it is leaving. No request is sent to it from now on. */
+  async recordLeaving (target: Decisions.Ids.TargetId): Promise<void> {
+    const { localTarget, log } = this.dependencies
+    if (!localTarget.recordLeaving(target) || localTarget.announcement === undefined) return
+    log.info('local target states in its responses that it is leaving', { target, sequence: localTarget.announcement.sequence })
+    await this.register(localTarget.announcement)
+  }
+
   /**
    * Handles the deregistration of a backend server. No request is sent to it from now on. Resolves to true when the
    * shared log shows the target as gone. Resolves to false when the target is unknown, as on a node that has not read
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -202,7 +202,8 @@
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
       clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine,
       targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
-      onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) }
+      onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) },
+      onTargetLeaving: target => { void cradle.membership.recordLeaving(target) }
     })).singleton(),
     reportChannel: Awilix.asClass(ReportChannels.ReportChannel).singleton(),
     hostServer: Awilix.asClass(HostServers.HostServer).singleton(),
@@ -210,7 +211,7 @@
     targetSelector: Awilix.asFunction((cradle: Cradle) => new TargetSelectors.TargetSelector(cradle.settings.location, cradle.views, cradle.random)).singleton(),
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
-      clock: cradle.clock, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory,
+      clock: cradle.clock, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
       connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
--- a/packages/proxy/src/transport/dialect.ts
+++ b/packages/proxy/src/transport/dialect.ts
@@ -34,6 +34,8 @@
   readonly isAltered: boolean
   /** Requests per second that the backend server takes from all nodes together; undefined if it states no limit. */
   readonly rateLimit: neverthrow.Result<number | undefined, StatementFailure>
+  /** Whether the backend server states that it is leaving and takes no more requests. */
+  readonly isLeaving: boolean
 }
 
 /** A field of a backend server's response cannot be read. */
--- a/packages/proxy/tests/directory/directory.test.ts
+++ b/packages/proxy/tests/directory/directory.test.ts
@@ -21,6 +21,16 @@
   assert.deepEqual(directory.readyTargets(Samples.SERVICE), [])
 })
 
+// Guards against a leaving target that gets requests again because a restarted node has accepted one of its later announcements.
+test('target that leaves does not become ready again in its incarnation', () => {
+  const directory = new Directories.Directory()
+  directory.merge(Samples.registration('a', { sequence: 5 }))
+  assert.equal(directory.merge(Samples.registration('a', { state: 'leaving', sequence: 5 })), true)
+  assert.equal(directory.merge(Samples.registration('a', { sequence: 9 })), false)
+  assert.equal(directory.merge(Samples.registration('a', { state: 'gone', sequence: 4 })), true)
+  assert.deepEqual(directory.readyTargets(Samples.SERVICE), [])
+})
+
 // Guards against a restarted target that stays gone because its sequence numbers begin again.
 test('later incarnation with the same id replaces the earlier one', () => {
   const directory = new Directories.Directory()
--- a/packages/proxy/tests/host/crash.test.ts
+++ b/packages/proxy/tests/host/crash.test.ts
@@ -25,7 +25,7 @@
     clock: CLOCK, dialect: new StubDialects.StubDialect(), log: new Logs.SilentLog(), metrics: new Metrics.Metrics(), localTarget,
     quarantine: { blockedFor: () => undefined, recordCrash: content => { crashes.push(content) }, recordCompletion: () => { /* Ignored. */ } },
     targetAddress: Decisions.Ids.endpoint(`127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`), version: () => Decisions.Ids.version(1),
-    onBreakerChanged: () => { /* Ignored. */ }
+    onBreakerChanged: () => { /* Ignored. */ }, onTargetLeaving: () => { /* Ignored. */ }
   })
   const outcome = await host.run({
     id: Decisions.Ids.requestId('q'), target: TARGET, callerService: Samples.SERVICE, method: 'POST', path: '/a/x', headers: [], repeatable: false, mayBeProbe: false, priority: 1,
--- a/packages/proxy/tests/host/host.test.ts
+++ b/packages/proxy/tests/host/host.test.ts
@@ -38,7 +38,8 @@
   const host = new Hosts.Host({
     clock: CLOCK, dialect: new StubDialects.StubDialect(), log: new Logs.SilentLog(), metrics: new Metrics.Metrics(), localTarget, quarantine,
     targetAddress: Decisions.Ids.endpoint(`127.0.0.1:${typeof address === 'object' && address !== null ? address.port : 0}`), version: () => Decisions.Ids.version(1),
-    onBreakerChanged: (_target, report) => { reports.push(report) }
+    onBreakerChanged: (_target, report) => { reports.push(report) },
+    onTargetLeaving: () => { /* Ignored. */ }
   })
   host.resetTarget(4)
   try {
--- a/packages/proxy/tests/membership.test.ts
+++ b/packages/proxy/tests/membership.test.ts
@@ -73,3 +73,23 @@
   assert.equal(await membership.deregister(Decisions.Ids.targetId('old')), true)
   assert.deepEqual(published.map(({ state }) => state), ['gone'])
 })
+
+// Guards against a leaving target that its node, once restarted, takes for ready because the target still announces itself so.
+test('announcement does not make a registered leaving target ready', async () => {
+  const { membership, localTarget, directory } = startNode()
+  directory.merge(Samples.registration('t1', { host: HOST, state: 'leaving', sequence: 3 }))
+  membership.adoptRegistration()
+  await membership.applyAnnouncement({ target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(100), sequence: 9 })
+  assert.equal(localTarget.isReady, false)
+})
+
+// Guards against a leaving target that other nodes go on using because it tells only its own node.
+test('target that states it is leaving is registered as leaving once', async () => {
+  const { membership, localTarget, published } = startNode()
+  await membership.applyAnnouncement({ target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(100), sequence: 3 })
+  await membership.recordLeaving(Decisions.Ids.targetId('another'))
+  assert.equal(localTarget.isReady, true)
+  for (let response = 0; response < 3; response += 1) await membership.recordLeaving(TARGET)
+  assert.equal(localTarget.isReady, false)
+  assert.deepEqual(published.map(({ state }) => state), ['ready', 'leaving'])
+})
--- a/packages/proxy/tests/support/stub-dialect.ts
+++ b/packages/proxy/tests/support/stub-dialect.ts
@@ -4,6 +4,8 @@
 
 export class StubDialect extends Dialects.Dialect {
   readonly reservedFields: ReadonlySet<string> = new Set()
+  /** Limit and leaving that responses state. */
+  statements: Pick<Dialects.TargetResponseMetadata, 'rateLimit' | 'isLeaving'> = { rateLimit: neverthrow.ok(undefined), isLeaving: false }
 
   readCallerMetadata (): Dialects.CallerMetadata {
     return {}
@@ -14,7 +16,7 @@
   }
 
   readTargetMetadata (): Dialects.TargetResponseMetadata {
-    return { isNotExecuted: false, isMisdirected: false, isSigned: true, isAltered: false, rateLimit: neverthrow.ok(undefined) }
+    return { isNotExecuted: false, isMisdirected: false, isSigned: true, isAltered: false, ...this.statements }
   }
 
   retryFields (): string[] {
