--- a/packages/proxy/src/host/target-capacity.ts
+++ b/packages/proxy/src/host/target-capacity.ts
@@ -60,10 +60,10 @@
       this.slots.acquire(now)
       return 'started'
     }
-    const isLimited = this.timeUntilAllowed > 0
-    if (!request.mayQueue) return isLimited ? 'target-limited' : 'target-busy'
-    // Other targets may have no limit, so the entry node is not told that the request is too late everywhere.
-    if (!this.slots.mayQueue(request, this.serviceTime.mean, now)) return isLimited ? 'target-limited' : 'too-late'
+    // Other targets may take the request at once, so it does not wait for the limit of this one.
+    if (this.timeUntilAllowed > 0) return 'target-limited'
+    if (!request.mayQueue) return 'target-busy'
+    if (!this.slots.mayQueue(request, this.serviceTime.mean, now)) return 'too-late'
     return await this.enqueue(request)
   }
 
