--- a/packages/proxy/src/host/rate-limit.ts
+++ b/packages/proxy/src/host/rate-limit.ts
@@ -13,51 +13,50 @@
 const MINIMUM_RATE = 0.25
 
 export class RateLimit {
-  /** Requests per second; undefined without a limit. */
-  private stated: number | undefined
+  private currentRate: number | undefined
   private tokens = 0
   private refilledAt = Decisions.Clock.milliseconds(0)
 
-  /** The limit in requests per second as the target stated it; undefined without a limit. */
+  /** Requests per second as the target stated them; undefined without a limit. */
   get rate (): number | undefined {
-    return this.stated
+    return this.currentRate
   }
 
   /** Mean time in ms between two requests; zero without a limit. */
   get interval (): number {
-    return this.stated === undefined ? 0 : MILLISECONDS_PER_SECOND / Math.max(this.stated, MINIMUM_RATE)
+    return this.currentRate === undefined ? 0 : MILLISECONDS_PER_SECOND / Math.max(this.currentRate, MINIMUM_RATE)
   }
 
   /** Sets the limit that the last response stated. A first limit allows nothing at once, since the target already has too many requests. */
-  state (rate: number | undefined, now: Decisions.Clock.Milliseconds): void {
-    if (this.stated === undefined) this.tokens = 0
+  setRate (rate: number | undefined, now: Decisions.Clock.Milliseconds): void {
+    if (this.currentRate === undefined) this.tokens = 0
     else this.refill(now)
-    this.stated = rate
+    this.currentRate = rate
     this.refilledAt = now
     this.tokens = Math.min(this.tokens, this.capacity)
   }
 
   /** Milliseconds until the next request is allowed; zero if one is allowed now. */
   timeUntilToken (now: Decisions.Clock.Milliseconds): number {
-    if (this.stated === undefined) return 0
+    if (this.currentRate === undefined) return 0
     this.refill(now)
     return this.tokens >= 1 ? 0 : (1 - this.tokens) * this.interval
   }
 
   /** Counts a request. The caller must have checked `timeUntilToken`. */
   take (now: Decisions.Clock.Milliseconds): void {
-    if (this.stated === undefined) return
+    if (this.currentRate === undefined) return
     this.refill(now)
     this.tokens -= 1
   }
 
   /** Takes back a counted request that was not sent to the target. */
   giveBack (): void {
-    if (this.stated !== undefined) this.tokens = Math.min(this.tokens + 1, this.capacity)
+    if (this.currentRate !== undefined) this.tokens = Math.min(this.tokens + 1, this.capacity)
   }
 
   private get capacity (): number {
-    return this.stated === undefined ? 0 : Math.max(1, BURST_DURATION / this.interval)
+    return this.currentRate === undefined ? 0 : Math.max(1, BURST_DURATION / this.interval)
   }
 
   private refill (now: Decisions.Clock.Milliseconds): void {
--- a/packages/proxy/src/host/target-capacity.ts
+++ b/packages/proxy/src/host/target-capacity.ts
@@ -49,7 +49,7 @@
 
   /** Sets the limit that the target stated in its last response. */
   setRate (rate: number | undefined): void {
-    this.rateLimit.state(rate, this.clock.now())
+    this.rateLimit.setRate(rate, this.clock.now())
     this.startQueued()
   }
 
--- a/packages/proxy/tests/host/rate-limit.test.ts
+++ b/packages/proxy/tests/host/rate-limit.test.ts
@@ -14,7 +14,7 @@
   const limit = new RateLimits.RateLimit()
   const sentAt: number[] = []
   for (let now = 0; now <= duration; now += 10) {
-    limit.state(rateAt(now), at(now))
+    limit.setRate(rateAt(now), at(now))
     while (limit.timeUntilToken(at(now)) === 0 && sentAt.length < duration) {
       limit.take(at(now))
       sentAt.push(now)
@@ -47,16 +47,16 @@
 // Guards against a target whose capacity stays unused after it has lifted its limit.
 test('without a limit every request is allowed', () => {
   const limit = new RateLimits.RateLimit()
-  limit.state(1, at(0))
+  limit.setRate(1, at(0))
   assert.ok(limit.timeUntilToken(at(0)) > 0)
-  limit.state(undefined, at(10))
+  limit.setRate(undefined, at(10))
   assert.equal(limit.timeUntilToken(at(10)), 0)
 })
 
 // Guards against requests that were withdrawn before they were sent and use up the limit.
 test('request that was not sent does not count', () => {
   const limit = new RateLimits.RateLimit()
-  limit.state(1, at(0))
+  limit.setRate(1, at(0))
   limit.take(at(1_000))
   limit.giveBack()
   assert.equal(limit.timeUntilToken(at(1_000)), 0)
