--- a/packages/proxy/tests/state/hanging-read.test.ts
+++ b/packages/proxy/tests/state/hanging-read.test.ts
@@ -22,6 +22,8 @@
 const SETTLE_STEPS = 8
 /** Time after its wait at which a call without an answer fails, as in the client of the platform's store. */
 const RESPONSE_TIMEOUT_MS = 1_500
+/** Operators expect a configuration in force this long after it is acknowledged. */
+const APPLY_LIMIT_MS = 2_000
 /** Operators expect the newest configuration in force this long after the log answers again. */
 const RECOVERY_LIMIT_MS = 3_000
 
@@ -63,14 +65,15 @@
 class DataCenter {
   readonly store = new SilentLog()
   private readonly clock = new Decisions.Clock.VirtualClock()
-  private readonly network = new MemoryNetworks.MemoryNetwork()
+  readonly network = new MemoryNetworks.MemoryNetwork()
+  readonly hosts: readonly Decisions.Ids.Endpoint[]
   private readonly states: ConfigurationStates.ConfigurationState[] = []
   private readonly closers: (() => void)[] = []
 
   constructor (nodes: number, seed: number) {
-    const hosts = Array.from({ length: nodes }, (_, index) => Decisions.Ids.endpoint(`10.0.0.${index}:80`))
-    for (const [index, host] of hosts.entries()) this.store.stored.targets.push(RegistrationRecords.encode(Samples.registration(`t${index}`, { host })))
-    for (const [index, host] of hosts.entries()) this.addNode(host, seed * nodes + index)
+    this.hosts = Array.from({ length: nodes }, (_, index) => Decisions.Ids.endpoint(`10.0.0.${index}:80`))
+    for (const [index, host] of this.hosts.entries()) this.store.stored.targets.push(RegistrationRecords.encode(Samples.registration(`t${index}`, { host })))
+    for (const [index, host] of this.hosts.entries()) this.addNode(host, seed * nodes + index)
   }
 
   private addNode (host: Decisions.Ids.Endpoint, seed: number): void {
@@ -151,3 +154,23 @@
     })
   }
 }
+
+// Guards against nodes that learn of a version too late because their relay fails at the moment at which the version is published.
+test('configuration is in force in time although the relay fails as it is published', async () => {
+  for (const failed of Array(8).keys()) {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+    const dataCenter = new DataCenter(8, failed)
+    try {
+      dataCenter.publish(1)
+      await dataCenter.advance(6_000 + failed * 130)
+      const host = dataCenter.hosts[failed]
+      if (host !== undefined) dataCenter.network.silent.add(host)
+      dataCenter.publish(2)
+      await dataCenter.advance(APPLY_LIMIT_MS - 300)
+      assert.deepEqual(dataCenter.versions().filter((_, index) => index !== failed), Array(7).fill(2), `node ${failed}`)
+    } finally {
+      dataCenter.close()
+      mock.timers.reset()
+    }
+  }
+})
