--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -6,6 +6,7 @@
 import type * as HostReports from '../host/host-report.js'
 import type * as Hosts from '../host/host.js'
 import type * as HostedRequests from '../host/hosted-request.js'
+import type * as Logs from '../observation/log.js'
 import type * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
@@ -37,6 +38,7 @@
   readonly views: HostViews.HostViews
   readonly directory: Directories.Directory
   readonly dialect: Dialects.Dialect
+  readonly log: Logs.Log
   readonly connections: ConnectionPools.ConnectionPool
   /** Called with the configuration version in force on another node. */
   readonly onVersionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
@@ -185,8 +187,10 @@
 
   /** Keeps requests away from a target that is leaving even if its host is restarted and does not know that. */
   private recordLeaving (registration: Registrations.Registration, response: Exchanges.Response): void {
-    const { dialect, directory } = this.dependencies
-    if (dialect.readTargetMetadata(response).isLeaving) directory.merge({ ...registration, state: 'leaving' })
+    const { dialect, directory, log } = this.dependencies
+    const { target, incarnation } = registration
+    if (!dialect.readTargetMetadata(response).isLeaving || !directory.merge({ ...registration, state: 'leaving' })) return
+    log.info('target states in its responses that it is leaving', { target, incarnation })
   }
 
   /** Avoids a target that takes no request now: until its limit allows one, or the directory has been updated, which takes up to a second. */
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -21,6 +21,8 @@
 
 export class Membership {
   private readonly dependencies: MembershipDependencies
+  /** Resolves when the shared log shows the target as leaving that stated so in a response; its announcement of that changes nothing more. */
+  private leavingRegistration: Promise<void> | undefined
 
   constructor (dependencies: MembershipDependencies) {
     this.dependencies = dependencies
@@ -31,9 +33,13 @@
     const { localTarget, log, host, directory, views } = this.dependencies
     const previous = localTarget.announcement
     const known = directory.get(announcement.target)
-    const outdated = known !== undefined && known.state !== 'ready' && known.incarnation >= announcement.incarnation
-    const result = outdated && (announcement.state === 'ready' || known.sequence >= announcement.sequence) ? 'outdated' : localTarget.applyAnnouncement(announcement)
-    if (result === 'unchanged') return
+    const hasLeft = known !== undefined && known.state !== 'ready' && known.incarnation >= announcement.incarnation
+    const isOutdated = hasLeft && (announcement.state === 'ready' || known.sequence >= announcement.sequence)
+    const result = isOutdated ? 'outdated' : localTarget.applyAnnouncement(announcement)
+    if (result === 'unchanged') {
+      await this.leavingRegistration
+      return
+    }
     const { target, state, sequence, incarnation } = announcement
     log.info(`announcement of the local target: ${result}`, { target, state, sequence, incarnation, before: previous?.target, stateBefore: previous?.state })
     if (result === 'outdated') return
@@ -70,7 +76,8 @@
     const { localTarget, log } = this.dependencies
     if (!localTarget.recordLeaving(target) || localTarget.announcement === undefined) return
     log.info('local target states in its responses that it is leaving', { target, sequence: localTarget.announcement.sequence })
-    await this.register(localTarget.announcement)
+    this.leavingRegistration = this.register(localTarget.announcement)
+    await this.leavingRegistration
   }
 
   /**
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -211,7 +211,7 @@
     targetSelector: Awilix.asFunction((cradle: Cradle) => new TargetSelectors.TargetSelector(cradle.settings.location, cradle.views, cradle.random)).singleton(),
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
-      clock: cradle.clock, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
+      clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
       connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
--- a/packages/proxy/tests/membership.test.ts
+++ b/packages/proxy/tests/membership.test.ts
@@ -14,8 +14,8 @@
 
 interface StartedNode { readonly membership: Membership.Membership, readonly localTarget: LocalTargets.LocalTarget, readonly published: Registrations.Registration[], readonly directory: Directories.Directory }
 
-/** A node that has just started and has not read the directory. */
-function startNode (): StartedNode {
+/** A node that has just started and has not read the directory. `write` resolves when the shared log holds a registration. */
+function startNode (write = Promise.resolve()): StartedNode {
   const directory = new Directories.Directory()
   const localTarget = new LocalTargets.LocalTarget()
   const published: Registrations.Registration[] = []
@@ -30,7 +30,7 @@
     registrar: {
       publish: registration => {
         published.push(registration)
-        return Promise.resolve()
+        return write
       }
     }
   })
@@ -93,3 +93,19 @@
   assert.equal(localTarget.isReady, false)
   assert.deepEqual(published.map(({ state }) => state), ['ready', 'leaving'])
 })
+
+// Guards against an acknowledged departure that the shared log does not hold, so that a restarted node does not know of it.
+test('announcement after a response that states leaving is acknowledged only when registered', async () => {
+  let completeWrite: () => void = () => { /* Set by the promise. */ }
+  const { membership, directory } = startNode(new Promise<void>(resolve => { completeWrite = resolve }))
+  const announcement: LocalTargets.Announcement = { target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(100), sequence: 3 }
+  void membership.applyAnnouncement(announcement)
+  void membership.recordLeaving(TARGET)
+  assert.equal(directory.get(TARGET)?.state, 'leaving')
+  let isAcknowledged = false
+  const acknowledgement = membership.applyAnnouncement({ ...announcement, state: 'leaving', sequence: 4 }).then(() => { isAcknowledged = true })
+  await new Promise(resolve => { setImmediate(resolve) })
+  assert.equal(isAcknowledged, false)
+  completeWrite()
+  await acknowledgement
+})
