feat(proxy): read the epoch of the shared log, and log positions of relay and reader

Cause: logs could not tell apart why nodes read nothing after the store came back from an older copy: no line had an offset, and the sources did not read Store-Era. Change: a position in the log is an epoch and an offset.

--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -29,7 +29,9 @@
 }
 
 export class Follower {
-  private offset: number | undefined
+  /** Undefined when the newest record of each key is to be read next. */
+  private position: SharedLogs.Position | undefined
+  private lastPosition: SharedLogs.Position | undefined
   private stopped = false
   private failingSince: Decisions.Clock.Milliseconds | undefined
   private failureCount = 0
@@ -47,7 +49,7 @@
       const { sharedLog, clock } = this.dependencies
       const { topic, pollTimeout } = this.subscription
       const startedAt = clock.now()
-      const read = this.offset === undefined ? await sharedLog.readNewest(topic) : await sharedLog.readFrom(topic, this.offset, this.failingSince === undefined ? pollTimeout : WITHOUT_WAIT)
+      const read = this.position === undefined ? await sharedLog.readNewest(topic) : await sharedLog.readFrom(topic, this.position, this.failingSince === undefined ? pollTimeout : WITHOUT_WAIT)
       if (this.isStopped()) return
       if (read.isErr()) await this.handleFailure(read.error, Decisions.Clock.between(startedAt, clock.now()))
       else await this.applyBatch(read.value)
@@ -70,20 +72,30 @@
       this.failingSince = undefined
       this.failureCount = 0
     }
-    this.offset = batch.nextOffset
+    this.logEpoch(batch)
+    this.position = batch.next
+    this.lastPosition = batch.next
     for (const record of newestOfEachKey(batch.records)) this.subscription.apply(record)
     this.subscription.onBatchApplied()
     const batchDelay = this.subscription.batchDelay()
     if (batch.records.length > 0 && batchDelay > 0) await Delays.delay(batchDelay)
   }
 
+  private logEpoch ({ records, next }: SharedLogs.Batch): void {
+    const before = this.lastPosition
+    if (before === undefined || before.epoch === next.epoch) return
+    this.dependencies.log.info('shared log was restored from an older copy', {
+      topic: this.subscription.topic, epoch: next.epoch, before: before.epoch, offset: before.offset, nextOffset: next.offset, records: records.length
+    })
+  }
+
   /** @param elapsed Time for which the failed read has been waiting. */
   private async handleFailure (failure: SharedLogs.LogFailure, elapsed: Decisions.Clock.Milliseconds): Promise<void> {
     const { log, clock, random } = this.dependencies
     const { topic } = this.subscription
     if (failure.kind === 'truncated') {
-      log.info('shared log was truncated after the last offset; reading the newest record of each key', { topic, offset: this.offset })
-      this.offset = undefined
+      log.info('shared log was truncated after the last offset; reading the newest record of each key', { topic, offset: this.position?.offset })
+      this.position = undefined
       return
     }
     if (this.failingSince === undefined) {
--- a/packages/proxy/src/state/record-buffer.ts
+++ b/packages/proxy/src/state/record-buffer.ts
@@ -7,24 +7,25 @@
 export class RecordBuffer {
   private records: SharedLogs.KeyedRecord[] = []
   private bytes = 0
-  private end: number | undefined
+  private end: SharedLogs.Position | undefined
 
-  /** Offset after the last record; undefined before the topic was read. */
-  get nextOffset (): number | undefined {
+  /** Position after the last record; undefined before the topic was read. */
+  get next (): SharedLogs.Position | undefined {
     return this.end
   }
 
-  /** Continues at an offset without the records before it. */
-  reset (nextOffset: number): void {
+  /** Continues at a position without the records before it. */
+  reset (next: SharedLogs.Position): void {
     this.records = []
     this.bytes = 0
-    this.end = nextOffset
+    this.end = next
   }
 
-  /** Appends consecutive records that end at `nextOffset`. */
-  append ({ records, nextOffset }: SharedLogs.Batch): void {
-    if (this.end !== nextOffset - records.length) this.reset(nextOffset - records.length)
-    this.end = nextOffset
+  /** Appends consecutive records that end at `next`. */
+  append ({ records, next }: SharedLogs.Batch): void {
+    const offset = next.offset - records.length
+    if (this.end?.offset !== offset) this.reset({ ...next, offset })
+    this.end = next
     for (const record of records) {
       this.records.push(record)
       this.bytes += sizeOf(record)
@@ -34,8 +35,10 @@
 
   /** All records from `offset` on; undefined if the buffer does not hold all of them. */
   readFrom (offset: number): SharedLogs.Batch | undefined {
-    if (this.end === undefined || offset > this.end || offset < this.end - this.records.length) return undefined
-    return { records: this.records.slice(offset - (this.end - this.records.length)), nextOffset: this.end }
+    if (this.end === undefined) return undefined
+    const first = this.end.offset - this.records.length
+    if (offset > this.end.offset || offset < first) return undefined
+    return { records: this.records.slice(offset - first), next: this.end }
   }
 }
 
--- a/packages/proxy/src/state/relay-selector.ts
+++ b/packages/proxy/src/state/relay-selector.ts
@@ -17,12 +17,12 @@
 /** Time for which a relay that is silent, or cannot be called, is passed over. */
 const SUSPICION_DURATION = Decisions.Clock.seconds(10)
 
-/** Offset after the last record that a node has read, by topic. */
-export type Offsets = Readonly<Record<SharedLogs.Topic, number>>
+/** Position after the last record that a node has read, by topic. */
+export type Positions = Readonly<Record<SharedLogs.Topic, SharedLogs.Position>>
 
 export interface Relay {
   readonly host: Decisions.Ids.Endpoint
-  readonly offsets: Offsets
+  readonly positions: Positions
   /** When the relay was last in contact with the log. */
   readonly contactAt: Decisions.Clock.Milliseconds
 }
@@ -46,6 +46,11 @@
 
   constructor (private readonly own: Decisions.Ids.Endpoint) {}
 
+  /** What a relay has last announced. */
+  lastAnnouncement (host: Decisions.Ids.Endpoint): Relay | undefined {
+    return this.relays.get(host)
+  }
+
   /** Records what a relay has announced. */
   recordAnnouncement (relay: Relay): void {
     this.relays.set(relay.host, relay)
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -28,12 +28,15 @@
 }
 const DIRECT_READ_TIMEOUT = Decisions.Clock.milliseconds(0)
 
-/** Address of the relay, its offsets by topic, and the age in ms of its last contact with the log. */
-const announcementSchema = zod.tuple([zod.string(), zod.number(), zod.number(), zod.number().nonnegative()])
+const epochSchema = zod.number().transform(SharedLogs.epoch)
+/** Epoch and offset. */
+const positionSchema = zod.tuple([epochSchema, zod.number()]).transform(([epoch, offset]) => ({ epoch, offset }))
+/** Address of the relay, its positions by topic, and the age in ms of its last contact with the log. */
+const announcementSchema = zod.tuple([zod.string(), positionSchema, positionSchema, zod.number().nonnegative()])
 const readParamsSchema = zod.object({ topic: zod.enum(['configuration', 'targets']), from: zod.number() })
 /** Records with their values in base64; no batch if the relay does not hold all records. */
 const readResultSchema = zod.object({
-  batch: zod.object({ records: zod.array(zod.object({ key: zod.string(), value: zod.string().optional() })), nextOffset: zod.number() }).optional()
+  batch: zod.object({ records: zod.array(zod.object({ key: zod.string(), value: zod.string().optional() })), next: positionSchema }).optional()
 })
 
 export interface RelayedLogDependencies {
@@ -83,21 +86,21 @@
   async readNewest (topic: SharedLogs.Topic): SharedLogs.LogResult<SharedLogs.Batch> {
     const read = await this.dependencies.store.readNewest(topic)
     if (read.isOk()) {
-      this.buffers[topic].reset(read.value.nextOffset)
+      this.buffers[topic].reset(read.value.next)
       this.recordContact(topic)
     }
     return read
   }
 
-  async readFrom (topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+  async readFrom (topic: SharedLogs.Topic, position: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
     const { clock } = this.dependencies
     const deadline = Decisions.Clock.add(clock.now(), wait)
     while (!this.isClosed) {
       // Two relays that read from each other would both miss what is new.
       const relay = this.isRelay() ? undefined : this.activeRelay()
-      if (relay === undefined) return await this.readStore(topic, offset, Decisions.Clock.milliseconds(Math.min(wait, POLL_TIMEOUT[topic])))
-      if (relay.offsets[topic] > offset) return await this.readRelay(relay.host, topic, offset)
-      if (clock.now() >= deadline) return neverthrow.ok({ records: [], nextOffset: offset })
+      if (relay === undefined) return await this.readStore(topic, position, Decisions.Clock.milliseconds(Math.min(wait, POLL_TIMEOUT[topic])))
+      if (relay.positions[topic].offset > position.offset) return await this.readRelay(relay.host, topic, position)
+      if (clock.now() >= deadline) return neverthrow.ok({ records: [], next: position })
       await this.waitForChange(Math.min(deadline, relay.contactAt + RelaySelectors.CONTACT_AGE_MAXIMUM + 1) - clock.now())
     }
     return neverthrow.err({ kind: 'no-answer', detail: 'the log was closed' })
@@ -114,8 +117,8 @@
     this.dependencies.store.close()
   }
 
-  private async readStore (topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
-    const read = await this.dependencies.store.readFrom(topic, offset, wait)
+  private async readStore (topic: SharedLogs.Topic, position: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+    const read = await this.dependencies.store.readFrom(topic, position, wait)
     if (read.isErr()) return read
     this.buffers[topic].append(read.value)
     this.recordContact(topic)
@@ -124,27 +127,27 @@
   }
 
   /** Reads from the relay, or from the log if the relay does not answer or no longer holds all records. */
-  private async readRelay (relay: Decisions.Ids.Endpoint, topic: SharedLogs.Topic, offset: number): SharedLogs.LogResult<SharedLogs.Batch> {
+  private async readRelay (relay: Decisions.Ids.Endpoint, topic: SharedLogs.Topic, position: SharedLogs.Position): SharedLogs.LogResult<SharedLogs.Batch> {
     const { clock, log, nodeRpc } = this.dependencies
-    const reply = await nodeRpc.call(relay, READ_METHOD, { topic, from: offset })
+    const reply = await nodeRpc.call(relay, READ_METHOD, { topic, from: position.offset })
     const result = reply.andThen(value => parseReadResult(value))
     if (result.isErr()) {
       this.selector.recordFailure(relay, clock.now())
-      log.info('relay cannot be read; reading the shared log', { relay, topic, offset, error: result.error.detail })
-      return await this.readStore(topic, offset, DIRECT_READ_TIMEOUT)
+      log.info('relay cannot be read; reading the shared log', { relay, topic, offset: position.offset, error: result.error.detail })
+      return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
     }
-    if (result.value.batch === undefined) return await this.readStore(topic, offset, DIRECT_READ_TIMEOUT)
-    const { records, nextOffset } = result.value.batch
-    const batch = { nextOffset, records: records.map(({ key, value }) => value === undefined ? { key } : { key, value: Buffer.from(value, 'base64') }) }
+    if (result.value.batch === undefined) return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
+    const { records, next } = result.value.batch
+    const batch = { next, records: records.map(({ key, value }) => value === undefined ? { key } : { key, value: Buffer.from(value, 'base64') }) }
     this.buffers[topic].append(batch)
     return neverthrow.ok(batch)
   }
 
-  private serveRecords (params: unknown): zod.infer<typeof readResultSchema> {
+  private serveRecords (params: unknown): zod.input<typeof readResultSchema> {
     const { topic, from } = readParamsSchema.parse(params)
     const batch = this.buffers[topic].readFrom(from)
     if (batch === undefined) return {}
-    return { batch: { nextOffset: batch.nextOffset, records: batch.records.map(({ key, value }) => value === undefined ? { key } : { key, value: value.toString('base64') }) } }
+    return { batch: { next: [batch.next.epoch, batch.next.offset], records: batch.records.map(({ key, value }) => value === undefined ? { key } : { key, value: value.toString('base64') }) } }
   }
 
   /** The topic `configuration` is read most often, so its answers show the contact with the log. */
@@ -171,10 +174,10 @@
    * waits; if its connection has died, this relay has no contact until that read has failed.
    */
   private async checkContact (): Promise<void> {
-    const { nextOffset } = this.buffers.configuration
-    if (this.isChecking || nextOffset === undefined) return
+    const { next } = this.buffers.configuration
+    if (this.isChecking || next === undefined) return
     this.isChecking = true
-    const read = await this.dependencies.store.readFrom('configuration', nextOffset, DIRECT_READ_TIMEOUT)
+    const read = await this.dependencies.store.readFrom('configuration', next, DIRECT_READ_TIMEOUT)
     this.isChecking = false
     if (read.isOk() && read.value.records.length === 0) this.recordContact('configuration')
     if (read.isErr()) this.dependencies.log.info('relay cannot reach the shared log', { failure: read.error.kind, contactAge: Math.round(this.contactAge()) })
@@ -219,9 +222,10 @@
   private announce (): void {
     const { nodeChannel, settings: { location } } = this.dependencies
     const contactAge = this.contactAge()
-    const { configuration, targets } = this.buffers
-    if (contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || configuration.nextOffset === undefined || targets.nextOffset === undefined) return
-    const params = [location.host, configuration.nextOffset, targets.nextOffset, Math.ceil(contactAge)]
+    const positions = this.positions()
+    if (contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || positions === undefined) return
+    const { configuration, targets } = positions
+    const params = [location.host, [configuration.epoch, configuration.offset], [targets.epoch, targets.offset], Math.ceil(contactAge)]
     nodeChannel.notify(ANNOUNCEMENT_METHOD, params, this.currentGroup().filter(host => host !== location.host))
   }
 
@@ -230,22 +234,43 @@
     if (!read.success) return false
     const [host, configuration, targets, contactAge] = read.data
     const contactAt = Decisions.Clock.milliseconds(this.dependencies.clock.now() - contactAge)
-    this.selector.recordAnnouncement({ host: Decisions.Ids.endpoint(host), offsets: { configuration, targets }, contactAt })
+    const relay = { host: Decisions.Ids.endpoint(host), positions: { configuration, targets }, contactAt }
+    this.logEpoch(relay)
+    this.selector.recordAnnouncement(relay)
     this.wakeReaders()
     return true
   }
 
+  /** Positions after the records that this node has read; undefined before it has read both topics. */
+  private positions (): RelaySelectors.Positions | undefined {
+    const { configuration: { next: configuration }, targets: { next: targets } } = this.buffers
+    return configuration === undefined || targets === undefined ? undefined : { configuration, targets }
+  }
+
+  /** Logs that a relay reads the log in another epoch than before. */
+  private logEpoch ({ host, positions }: RelaySelectors.Relay): void {
+    const before = this.selector.lastAnnouncement(host)?.positions.configuration.epoch
+    const { epoch } = positions.configuration
+    if (before === undefined || before === epoch) return
+    this.dependencies.log.info('relay reads a restored log', { relay: host, epoch, before, position: describe(positions), own: describe(this.positions()) })
+  }
+
   /** Logs from where this node reads the log, when that changes. */
   private logSource (): void {
     const { log, clock } = this.dependencies
     const relay = this.activeRelay()
     const source = relay?.host ?? (this.isRelay() ? 'as relay' : 'direct')
     if (source === this.source) return
-    log.info('source of the shared log changed', { source, before: this.source, group: this.group.length, contactAge: relay === undefined ? undefined : Math.round(clock.now() - relay.contactAt) })
+    log.info('source of the shared log changed', { source, before: this.source, group: this.group.length, position: describe(relay?.positions), own: describe(this.positions()), contactAge: relay === undefined ? undefined : Math.round(clock.now() - relay.contactAt) })
     this.source = source
   }
 }
 
+/** Position of the configuration for a log line, `EPOCH:OFFSET`. */
+function describe (positions: RelaySelectors.Positions | undefined): string | undefined {
+  return positions === undefined ? undefined : `${positions.configuration.epoch}:${positions.configuration.offset}`
+}
+
 function parseReadResult (value: unknown): neverthrow.Result<zod.infer<typeof readResultSchema>, NodeRpcs.CallFailure> {
   const result = readResultSchema.safeParse(value)
   return result.success ? neverthrow.ok(result.data) : neverthrow.err({ kind: 'call-failed', detail: result.error.message })
--- a/packages/proxy/src/state/shared-log.ts
+++ b/packages/proxy/src/state/shared-log.ts
@@ -10,10 +10,20 @@
   readonly value?: Buffer
 }
 
+/** Numbers the histories of the log: it rises when the log is restored from an older copy, which assigns offsets again. */
+export type Epoch = number & { readonly brand: 'Epoch' }
+export const epoch = (value: number): Epoch => value as Epoch
+
+/** Place in the log before a record. Offsets of different epochs cannot be compared. */
+export interface Position {
+  readonly epoch: Epoch
+  readonly offset: number
+}
+
 export interface Batch {
   readonly records: readonly KeyedRecord[]
-  /** Offset at which the next read continues. */
-  readonly nextOffset: number
+  /** Where the next read continues. */
+  readonly next: Position
 }
 
 export type LogFailure =
@@ -29,8 +39,8 @@
 export abstract class SharedLog {
   /** The newest record of each key. */
   abstract readNewest (topic: Topic): LogResult<Batch>
-  /** Records from `offset` on. Waits up to `wait` for the first one (long polling). */
-  abstract readFrom (topic: Topic, offset: number, wait: Decisions.Clock.Milliseconds): LogResult<Batch>
+  /** Records from `position` on. Waits up to `wait` for the first one (long polling). */
+  abstract readFrom (topic: Topic, position: Position, wait: Decisions.Clock.Milliseconds): LogResult<Batch>
   abstract put (topic: Topic, record: KeyedRecord): LogResult<undefined>
   abstract close (): void
 }
--- a/packages/proxy/tests/state/follower.test.ts
+++ b/packages/proxy/tests/state/follower.test.ts
@@ -6,6 +6,10 @@
 import * as Followers from '../../src/state/follower.js'
 import * as SharedLogs from '../../src/state/shared-log.js'
 
+function at (offset: number): SharedLogs.Position {
+  return { epoch: SharedLogs.epoch(0), offset }
+}
+
 /** Returns one batch for each read, and then fails. */
 class BatchLog extends SharedLogs.SharedLog {
   constructor (private readonly batches: SharedLogs.Batch[], private readonly onEnd: () => void) {
@@ -34,7 +38,7 @@
 test('only the newest record of each key in a batch is applied', async () => {
   const applied: string[] = []
   const records = ['a1', 'b1', 'a2', 'a3'].map(text => ({ key: text.charAt(0), value: Buffer.from(text) }))
-  const batches = [{ records, nextOffset: 4 }, { records: [{ key: 'a', value: Buffer.from('a4') }], nextOffset: 5 }]
+  const batches = [{ records, next: at(4) }, { records: [{ key: 'a', value: Buffer.from('a4') }], next: at(5) }]
   const random = new Decisions.Random.Random(1)
   const sharedLog = new BatchLog(batches, () => { follower.stop() })
   const follower: Followers.Follower = new Followers.Follower({ sharedLog, random, clock: new Decisions.Clock.VirtualClock(), log: new Logs.SilentLog() }, {
--- a/packages/proxy/tests/state/hanging-read.test.ts
+++ b/packages/proxy/tests/state/hanging-read.test.ts
@@ -30,14 +30,15 @@
 /** Shared log in memory. Reads that begin or end while it is silent get no answer, also after it answers others again. */
 class SilentLog extends SharedLogs.SharedLog {
   isSilent = false
+  readonly epoch = SharedLogs.epoch(0)
   reads = 0
   readonly stored: Record<SharedLogs.Topic, SharedLogs.KeyedRecord[]> = { configuration: [], targets: [] }
 
   override async readNewest (topic: SharedLogs.Topic): SharedLogs.LogResult<SharedLogs.Batch> {
-    return await this.readFrom(topic, 0, Decisions.Clock.milliseconds(0))
+    return await this.readFrom(topic, { epoch: this.epoch, offset: 0 }, Decisions.Clock.milliseconds(0))
   }
 
-  override async readFrom (topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+  override async readFrom (topic: SharedLogs.Topic, { offset }: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
     this.reads += 1
     const records = this.stored[topic]
     let waited = 0
@@ -46,7 +47,7 @@
       await sleep(wait - waited + RESPONSE_TIMEOUT_MS)
       return neverthrow.err({ kind: 'no-answer', detail: 'silent' })
     }
-    return neverthrow.ok({ records: records.slice(offset), nextOffset: records.length })
+    return neverthrow.ok({ records: records.slice(offset), next: { epoch: this.epoch, offset: records.length } })
   }
 
   override async put (topic: SharedLogs.Topic, record: SharedLogs.KeyedRecord): SharedLogs.LogResult<undefined> {
--- a/packages/proxy/tests/state/relay-selector.test.ts
+++ b/packages/proxy/tests/state/relay-selector.test.ts
@@ -2,6 +2,7 @@
 import { test } from 'node:test'
 import * as Decisions from '@jasminedale/decisions'
 import * as RelaySelectors from '../../src/state/relay-selector.js'
+import * as SharedLogs from '../../src/state/shared-log.js'
 
 const HOSTS = Array.from({ length: 29 }, (_, index) => Decisions.Ids.endpoint(`10.0.0.${index}:80`))
 
@@ -10,7 +11,8 @@
 }
 
 function relay (host: Decisions.Ids.Endpoint, contactAt: number): RelaySelectors.Relay {
-  return { host, offsets: { configuration: 1, targets: 1 }, contactAt: at(contactAt) }
+  const position = { epoch: SharedLogs.epoch(0), offset: 1 }
+  return { host, positions: { configuration: position, targets: position }, contactAt: at(contactAt) }
 }
 
 function endpointAt (group: readonly Decisions.Ids.Endpoint[], index: number): Decisions.Ids.Endpoint {
--- a/packages/proxy/tests/state/relayed-log.test.ts
+++ b/packages/proxy/tests/state/relayed-log.test.ts
@@ -17,6 +17,7 @@
 /** Shared log in memory that counts the reads of each node. Reads without new records end only when `expire` is called. */
 class MemoryLog extends SharedLogs.SharedLog {
   reads = 0
+  private readonly epoch = SharedLogs.epoch(0)
   isRefusing = false
 
   constructor (private readonly stored: SharedLogs.KeyedRecord[], private readonly waiting: (() => void)[]) {
@@ -25,14 +26,18 @@
 
   override readNewest (): SharedLogs.LogResult<SharedLogs.Batch> {
     this.reads += 1
-    return Promise.resolve(neverthrow.ok({ records: [...this.stored], nextOffset: this.stored.length }))
+    return Promise.resolve(neverthrow.ok({ records: [...this.stored], next: this.end() }))
   }
 
-  override async readFrom (_topic: SharedLogs.Topic, offset: number, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+  override async readFrom (_topic: SharedLogs.Topic, { offset }: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
     this.reads += 1
     if (this.isRefusing) return neverthrow.err({ kind: 'refused', status: 503 })
     if (this.stored.length <= offset && wait > 0) await new Promise<void>(resolve => { this.waiting.push(resolve) })
-    return neverthrow.ok({ records: this.stored.slice(offset), nextOffset: this.stored.length })
+    return neverthrow.ok({ records: this.stored.slice(offset), next: this.end() })
+  }
+
+  private end (): SharedLogs.Position {
+    return { epoch: this.epoch, offset: this.stored.length }
   }
 
   override put (): SharedLogs.LogResult<undefined> {
@@ -71,9 +76,10 @@
   async follow (member: Member): Promise<void> {
     const read = await member.log.readNewest('configuration')
     await member.log.readNewest('targets')
-    for (member.applied = read._unsafeUnwrap().nextOffset; ;) {
-      const batch = await member.log.readFrom('configuration', member.applied, WAIT)
-      if (batch.isOk()) member.applied = batch.value.nextOffset
+    for (let position = read._unsafeUnwrap().next; ;) {
+      member.applied = position.offset
+      const batch = await member.log.readFrom('configuration', position, WAIT)
+      if (batch.isOk()) position = batch.value.next
       else if (batch.error.kind === 'no-answer') return
       else await new Promise(resolve => setImmediate(resolve))
     }
@@ -102,7 +108,7 @@
 
   /** Lets a node act as if `member` announced itself as relay, with the offset that it has read. */
   announce (member: Member, to: Member): void {
-    this.network.deliver('relay', [member.host, member.applied, member.applied, 0], to.host)
+    this.network.deliver('relay', [member.host, [0, member.applied], [0, member.applied], 0], to.host)
   }
 
   private expire (): void {
