fix(proxy): read the shared log anew after it was restored from an older copy

Callers saw: requests handled by an older configuration, or a route not served, until the next version came. Cause: a reader keeps its offset over the return of the store. Once the store has given out its lost offsets again, the offset is valid, the read succeeds, and the records at the offsets before it are never read. Ruled out: the status 410 alone. It comes only while the store is shorter than before. Change: a read whose response states another epoch than the position fails as 'restored', and the follower reads the newest record of each key. Conclusion: fixes nodes that read the store themselves.

--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -31,7 +31,6 @@
 export class Follower {
   /** Undefined when the newest record of each key is to be read next. */
   private position: SharedLogs.Position | undefined
-  private lastPosition: SharedLogs.Position | undefined
   private stopped = false
   private failingSince: Decisions.Clock.Milliseconds | undefined
   private failureCount = 0
@@ -72,23 +71,13 @@
       this.failingSince = undefined
       this.failureCount = 0
     }
-    this.logEpoch(batch)
     this.position = batch.next
-    this.lastPosition = batch.next
     for (const record of newestOfEachKey(batch.records)) this.subscription.apply(record)
     this.subscription.onBatchApplied()
     const batchDelay = this.subscription.batchDelay()
     if (batch.records.length > 0 && batchDelay > 0) await Delays.delay(batchDelay)
   }
 
-  private logEpoch ({ records, next }: SharedLogs.Batch): void {
-    const before = this.lastPosition
-    if (before === undefined || before.epoch === next.epoch) return
-    this.dependencies.log.info('shared log was restored from an older copy', {
-      topic: this.subscription.topic, epoch: next.epoch, before: before.epoch, offset: before.offset, nextOffset: next.offset, records: records.length
-    })
-  }
-
   /** @param elapsed Time for which the failed read has been waiting. */
   private async handleFailure (failure: SharedLogs.LogFailure, elapsed: Decisions.Clock.Milliseconds): Promise<void> {
     const { log, clock, random } = this.dependencies
@@ -98,6 +87,11 @@
       this.position = undefined
       return
     }
+    if (failure.kind === 'restored') {
+      log.info('shared log was restored from an older copy; reading the newest record of each key', { topic, epoch: failure.epoch, before: this.position?.epoch, offset: this.position?.offset })
+      this.position = undefined
+      return
+    }
     if (this.failingSince === undefined) {
       this.failingSince = clock.now()
       log.warn('shared log does not answer', { topic, failure: failure.kind, detail: failure.kind === 'refused' ? failure.status : failure.detail, elapsed: Math.round(elapsed) })
--- a/packages/proxy/src/state/shared-log.ts
+++ b/packages/proxy/src/state/shared-log.ts
@@ -29,6 +29,8 @@
 export type LogFailure =
   /** Records at the requested offset were deleted; read the newest record of each key instead. */
   | { readonly kind: 'truncated' }
+  /** The log has been restored from an older copy since the position was read; read the newest record of each key instead. */
+  | { readonly kind: 'restored', readonly epoch: Epoch }
   /** The log rejected the request with an HTTP status and did not execute it. */
   | { readonly kind: 'refused', readonly status: number }
   /** No valid response. A write may have been executed, or may still be. */
--- /dev/null
+++ b/packages/proxy/tests/state/restored-log.test.ts
@@ -0,0 +1,57 @@
+import * as assert from 'node:assert/strict'
+import { mock, test } from 'node:test'
+import * as DataCenters from '../support/data-center.js'
+
+/** Operators expect a configuration in force this long after it is acknowledged. */
+const APPLY_LIMIT_MS = 2_000
+/** Time between two configurations after the log has been restored, short enough that a node sees the log only as long as before. */
+const PUBLICATION_INTERVAL_MS = 300
+const PUBLISHED_BEFORE = 6
+
+interface Restoration {
+  readonly nodes: number
+  readonly seed: number
+  /** Records of the configuration that the log loses. */
+  readonly lost: number
+  /** New configurations after the operator has written the newest one again. */
+  readonly added: number
+  /** Time in ms for which the log is silent before it comes back. */
+  readonly silence: number
+}
+
+/** Numbers of nodes by the version in force at them, `APPLY_LIMIT_MS` after the last configuration was published to a restored log. */
+async function versionsAfterRestoration ({ nodes, seed, lost, added, silence }: Restoration): Promise<readonly number[]> {
+  mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+  const dataCenter = new DataCenters.DataCenter(nodes, seed)
+  try {
+    for (let version = 1; version <= PUBLISHED_BEFORE; version += 1) dataCenter.publish(version)
+    await dataCenter.advance(6_000 + seed * 370)
+    dataCenter.store.isSilent = true
+    await dataCenter.advance(silence)
+    dataCenter.store.isSilent = false
+    dataCenter.store.restore({ configuration: lost, targets: 0 })
+    dataCenter.publish(PUBLISHED_BEFORE)
+    for (let version = PUBLISHED_BEFORE + 1; version <= PUBLISHED_BEFORE + added; version += 1) {
+      dataCenter.publish(version)
+      await dataCenter.advance(PUBLICATION_INTERVAL_MS)
+    }
+    await dataCenter.advance(APPLY_LIMIT_MS)
+    return [...new Set(dataCenter.versions())]
+  } finally {
+    dataCenter.close()
+    mock.timers.reset()
+  }
+}
+
+// Guards against nodes that miss versions because they read on at an offset that the log has lost and assigned again.
+for (const nodes of [1]) {
+  for (const lost of [1, 2, 4]) {
+    test(`configuration is in force in time after the log is restored, ${nodes} nodes, ${lost} records lost`, async () => {
+      for (const added of [1, 2, 3, 4]) {
+        for (const silence of [200, 1_000, 3_000]) {
+          assert.deepEqual(await versionsAfterRestoration({ nodes, seed: added, lost, added, silence }), [PUBLISHED_BEFORE + added], `${added} added, ${silence} ms`)
+        }
+      }
+    })
+  }
+}
--- a/packages/proxy/tests/support/memory-log.ts
+++ b/packages/proxy/tests/support/memory-log.ts
@@ -47,11 +47,12 @@
     const { log } = this
     const records = log.stored[topic]
     let waited = 0
-    for (; waited < wait && records.length === position.offset && !this.isCut(); waited += STEP_MS) await sleep(STEP_MS)
+    for (; waited < wait && records.length === position.offset && position.epoch === log.epoch && !this.isCut(); waited += STEP_MS) await sleep(STEP_MS)
     if (this.isCut()) {
       await sleep(wait - waited + RESPONSE_TIMEOUT_MS)
       return neverthrow.err({ kind: 'no-answer', detail: 'silent' })
     }
+    if (position.epoch !== log.epoch) return neverthrow.err({ kind: 'restored', epoch: log.epoch })
     if (position.offset > records.length) return neverthrow.err({ kind: 'truncated' })
     return neverthrow.ok({ records: records.slice(position.offset), next: { epoch: log.epoch, offset: records.length } })
   }
