fix(proxy): let a node that the log does not answer ask its relay before other peers

Callers saw: nothing yet; found while the restored log was traced. Cause: a node that learns from its relay that the log was restored reads the log anew. If the log does not answer this node just then (some nodes are turned away), it depends on a peer picked at random every 0.7 s, of which most may be turned away as well. Change: such a node asks the relay it hears, which has been in contact with the log for the last 1.5 s; a peer at random only without one. Ruled out: the restored log alone. Without it, the same nodes are as late in the first 5 s of the outage, since the group tries its nodes as relay one after the other; open. Conclusion: after a restored log nodes that cannot reach it are as current as without it.

--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -79,6 +79,11 @@
     return this.source
   }
 
+  /** The relay that this node hears, whether or not the log answers this node itself; undefined on the relay. */
+  get relay (): Decisions.Ids.Endpoint | undefined {
+    return this.isRelay() ? undefined : this.activeRelay()?.host
+  }
+
   start (): void {
     this.timer = setInterval(() => { this.update() }, ANNOUNCEMENT_INTERVAL_MS)
   }
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -12,6 +12,7 @@
 import * as Followers from './follower.js'
 import type * as StateTransfers from './state-transfer.js'
 import type * as Registrars from './registrar.js'
+import type * as RelayedLogs from './relayed-log.js'
 import * as RegistrationRecords from './registration-record.js'
 import type * as SharedLogs from './shared-log.js'
 
@@ -35,6 +36,7 @@
 
 export interface SynchronizerDependencies extends Followers.FollowerDependencies {
   readonly settings: Settings.ProxySettings
+  readonly sharedLog: RelayedLogs.RelayedLog
   readonly log: Logs.Log
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly directory: Directories.Directory
@@ -146,13 +148,13 @@
     if (known?.incarnation !== registration.incarnation) views.remove(registration.target)
   }
 
-  /** Requests the state of a near peer while the shared log does not answer this node; it may still answer the peer. */
+  /** Requests the state of the relay, or of a near peer, while the shared log does not answer this node; it may still answer them. */
   private fetchFromPeer (): void {
-    const { clock, stateTransfer, random } = this.dependencies
+    const { clock, stateTransfer, sharedLog, random } = this.dependencies
     const isLogUnavailable = this.followers.some(follower => (follower.failureDuration(clock.now()) ?? 0) >= PEER_REQUEST_INTERVAL_MS)
     if (!isLogUnavailable) return
-    const peer = random.pick(this.nearestPeers())
-    if (peer !== undefined) void stateTransfer.fetchFrom(peer.host)
+    const peer = sharedLog.relay ?? random.pick(this.nearestPeers())?.host
+    if (peer !== undefined) void stateTransfer.fetchFrom(peer)
   }
 
   /** Other nodes with a ready target: those in the data center of this node, else those in its region, else all. */
--- a/packages/proxy/tests/state/restored-log.test.ts
+++ b/packages/proxy/tests/state/restored-log.test.ts
@@ -7,6 +7,8 @@
 /** Time between two configurations after the log has been restored, short enough that a node sees the log only as long as before. */
 const PUBLICATION_INTERVAL_MS = 300
 const PUBLISHED_BEFORE = 6
+/** Time within which a group finds a relay that reaches the log, although three quarters of its nodes do not. */
+const RELAY_CHOICE_MS = 15_000
 
 interface Restoration {
   readonly nodes: number
@@ -95,3 +97,31 @@
     for (const seed of [1, 2, 3, 4, 5, 6]) assert.deepEqual(await versionsBehindAfterTwoRestorations(nodes, seed), [0, 0], `seed ${seed}`)
   })
 }
+
+// Guards against nodes that the log does not answer and that no longer read through their relay after the log was restored.
+test('configuration is in force in time after the log is restored, at nodes that cannot reach it', async () => {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+    const dataCenter = new DataCenters.DataCenter(12, seed)
+    const { store, hosts } = dataCenter
+    try {
+      for (let version = 1; version <= PUBLISHED_BEFORE; version += 1) dataCenter.publish(version)
+      await dataCenter.advance(6_000)
+      for (const [index, host] of hosts.entries()) if ((index + seed) % 4 > 0) store.unreachable.add(host)
+      store.isSilent = true
+      await dataCenter.advance(1_000)
+      store.isSilent = false
+      store.restore({ configuration: 4, targets: 0 })
+      dataCenter.publish(PUBLISHED_BEFORE)
+      await dataCenter.advance(RELAY_CHOICE_MS)
+      for (let version = PUBLISHED_BEFORE + 1; version <= PUBLISHED_BEFORE + 8; version += 1) {
+        dataCenter.publish(version)
+        await dataCenter.advance(APPLY_LIMIT_MS)
+        assert.deepEqual(new Set(dataCenter.versions()), new Set([version]), `seed ${seed}`)
+      }
+    } finally {
+      dataCenter.close()
+      mock.timers.reset()
+    }
+  }
+})
