fix(proxy): keep the pending registrations of several targets of a host apart

Callers saw: nothing yet; found while the writes of a node were traced. Cause: the registrar had one registration to write. A deregistration of an earlier target, while the log is away, replaced the pending registration of the present one, which was never written; the announcement was acknowledged all the same. Besides, a newer record in the log was replaced by the state that the node still had. Change: one pending registration for each target; a record is replaced only by a newer one. Conclusion: fixed; also needed to publish registrations again that a restored log lost.

--- a/packages/proxy/src/state/registrar.ts
+++ b/packages/proxy/src/state/registrar.ts
@@ -1,7 +1,7 @@
-/** Writes the local target's registration to the shared log and retries until the log holds it. */
+/** Writes registrations of this host's targets to the shared log and retries until the log holds them. */
 import * as Decisions from '@jasminedale/decisions'
 import * as Delays from '../delay.js'
-import type * as Registrations from '../directory/registration.js'
+import * as Registrations from '../directory/registration.js'
 import type * as Logs from '../observation/log.js'
 import * as RegistrationRecords from './registration-record.js'
 import type * as SharedLogs from './shared-log.js'
@@ -9,40 +9,56 @@
 /** Delay between two attempts; the actual delay varies at random by up to half of it. */
 const RETRY_DELAY = Decisions.Clock.milliseconds(500)
 
+/** What the log is to hold of one target. */
+interface Publication {
+  desired: Registrations.Registration
+  published?: Registrations.Registration | undefined
+  pendingWrite?: Promise<void> | undefined
+}
+
 export class Registrar {
-  private desired: Registrations.Registration | undefined
-  private published: Registrations.Registration | undefined
-  private pendingWrite: Promise<void> | undefined
+  private readonly publications = new Map<Decisions.Ids.TargetId, Publication>()
   private isStopped = false
 
   constructor (private readonly sharedLog: SharedLogs.SharedLog, private readonly log: Logs.Log, private readonly random: Decisions.Random.Random) {}
 
-  /** Publishes the registration. Resolves when it, or a later one, is in the shared log. */
+  /** Publishes the registration. Resolves when it, or a later one of the same target, is in the shared log. */
   async publish (registration: Registrations.Registration): Promise<void> {
-    this.desired = registration
-    this.pendingWrite ??= this.writeDesired().finally(() => { this.pendingWrite = undefined })
-    await this.pendingWrite
+    const publication: Publication = this.publications.get(registration.target) ?? { desired: registration }
+    this.publications.set(registration.target, publication)
+    publication.desired = registration
+    publication.pendingWrite ??= this.write(publication).finally(() => { publication.pendingWrite = undefined })
+    await publication.pendingWrite
   }
 
-  /** Publishes the local target's registration again when a delayed write of an earlier state has replaced it in the shared log. */
+  /** Publishes a registration again when a delayed write of an earlier state has replaced it in the shared log. */
   async republishIfOutdated (registration: Registrations.Registration): Promise<void> {
-    const { desired } = this
-    if (desired?.target !== registration.target || this.pendingWrite !== undefined || RegistrationRecords.isSameState(desired, registration)) return
+    const publication = this.publications.get(registration.target)
+    if (publication === undefined || publication.pendingWrite !== undefined) return
+    const { desired } = publication
+    if (RegistrationRecords.isSameState(desired, registration) || !Registrations.isNewer(desired, registration)) return
     this.log.info('shared log holds an outdated record of the local target; publishing again', { target: desired.target, state: registration.state })
-    this.published = undefined
-    await this.publish(desired)
+    await this.republish(desired)
+  }
+
+  /** Publishes a registration, or a newer one of the same target, again because the shared log no longer holds it. */
+  async republish (registration: Registrations.Registration): Promise<void> {
+    const publication = this.publications.get(registration.target)
+    if (publication?.pendingWrite !== undefined) return
+    if (publication !== undefined) publication.published = undefined
+    await this.publish(publication !== undefined && Registrations.isNewer(publication.desired, registration) ? publication.desired : registration)
   }
 
   stop (): void {
     this.isStopped = true
   }
 
-  private async writeDesired (): Promise<void> {
-    while (!this.isStopped && this.desired !== undefined && this.desired !== this.published) {
-      const registration = this.desired
+  private async write (publication: Publication): Promise<void> {
+    while (!this.isStopped && publication.desired !== publication.published) {
+      const registration = publication.desired
       const result = await this.sharedLog.put('targets', RegistrationRecords.encode(registration))
       if (result.isOk()) {
-        this.published = registration
+        publication.published = registration
         this.log.info('registration of the local target published', { target: registration.target, state: registration.state, sequence: registration.sequence })
         continue
       }
