fix(proxy): let every reader notice the restored log when one of them does

Callers saw: nothing yet; found while the restored log was traced. Cause: the configuration and the targets are read by two reads. A read of the targets waits up to 2 s, and 1.5 s more if its connection has died with the store, before it shows the new epoch, although the read of the configuration has shown it long before. Change: an epoch that any read shows ends the other reads that wait in an earlier one. Nodes wait up to 0.1 s at random before they read anew, since all notice at once.

--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -90,6 +90,8 @@
     if (failure.kind === 'restored') {
       log.info('shared log was restored from an older copy; reading the newest record of each key', { topic, epoch: failure.epoch, before: this.position?.epoch, offset: this.position?.offset })
       this.position = undefined
+      // All nodes notice at once.
+      await Delays.delay(MINIMUM_RETRY_DELAY * random.fraction())
       return
     }
     if (this.failingSince === undefined) {
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -57,6 +57,10 @@
     configuration: new RecordBuffers.RecordBuffer(), targets: new RecordBuffers.RecordBuffer()
   }
 
+  /** Epoch of the last answer of the log itself. */
+  private epoch: SharedLogs.Epoch | undefined
+  /** Called with each new epoch, to abandon the reads that wait in an earlier one. */
+  private readonly pendingReads = new Set<(epoch: SharedLogs.Epoch) => void>()
   private group: readonly Decisions.Ids.Endpoint[] = []
   private groupRevision = -1
   private contactAt = Decisions.Clock.milliseconds(-Infinity)
@@ -91,6 +95,7 @@
   async readNewest (topic: SharedLogs.Topic): SharedLogs.LogResult<SharedLogs.Batch> {
     const read = await this.dependencies.store.readNewest(topic)
     if (read.isOk()) {
+      this.recordEpoch(read.value.next.epoch)
       this.buffers[topic].reset(read.value.next)
       this.recordContact(topic)
     }
@@ -101,6 +106,7 @@
     const { clock } = this.dependencies
     const deadline = Decisions.Clock.add(clock.now(), wait)
     while (!this.isClosed) {
+      if (this.epoch !== undefined && this.epoch !== position.epoch) return neverthrow.err({ kind: 'restored', epoch: this.epoch })
       // Two relays that read from each other would both miss what is new.
       const relay = this.isRelay() ? undefined : this.activeRelay()
       // A relay that reads an older epoch has not noticed yet that the log was restored.
@@ -125,7 +131,8 @@
   }
 
   private async readStore (topic: SharedLogs.Topic, position: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
-    const read = await this.dependencies.store.readFrom(topic, position, wait)
+    const read = await this.readStoreInEpoch(topic, position, wait)
+    if (read.isErr() && read.error.kind === 'restored') this.recordEpoch(read.error.epoch)
     if (read.isErr()) return read
     this.buffers[topic].append(read.value)
     this.recordContact(topic)
@@ -133,6 +140,24 @@
     return read
   }
 
+  /** Reads from the log until another read shows that it was restored: the connection of this one may have died with it. */
+  private async readStoreInEpoch (topic: SharedLogs.Topic, position: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
+    return await new Promise((resolve, reject) => {
+      const abandon = (epoch: SharedLogs.Epoch): void => {
+        if (epoch !== position.epoch) resolve(neverthrow.err({ kind: 'restored', epoch }))
+      }
+      this.pendingReads.add(abandon)
+      this.dependencies.store.readFrom(topic, position, wait).finally(() => { this.pendingReads.delete(abandon) }).then(resolve, reject)
+    })
+  }
+
+  private recordEpoch (epoch: SharedLogs.Epoch): void {
+    if (epoch === this.epoch) return
+    this.epoch = epoch
+    for (const abandon of this.pendingReads) abandon(epoch)
+    this.wakeReaders()
+  }
+
   /** Reads from the relay, or from the log if the relay does not answer or no longer holds all records. */
   private async readRelay (relay: Decisions.Ids.Endpoint, topic: SharedLogs.Topic, position: SharedLogs.Position): SharedLogs.LogResult<SharedLogs.Batch> {
     const { clock, log, nodeRpc } = this.dependencies
--- a/packages/proxy/tests/state/restored-log.test.ts
+++ b/packages/proxy/tests/state/restored-log.test.ts
@@ -1,9 +1,14 @@
 import * as assert from 'node:assert/strict'
 import { mock, test } from 'node:test'
+import * as Decisions from '@jasminedale/decisions'
+import * as RegistrationRecords from '../../src/state/registration-record.js'
 import * as DataCenters from '../support/data-center.js'
+import * as Samples from '../support/samples.js'
 
 /** Operators expect a configuration in force this long after it is acknowledged. */
 const APPLY_LIMIT_MS = 2_000
+/** Nodes count as in touch with the log this long after it answers again. */
+const RECOVERY_LIMIT_MS = 3_000
 /** Time between two configurations after the log has been restored, short enough that a node sees the log only as long as before. */
 const PUBLICATION_INTERVAL_MS = 300
 const PUBLISHED_BEFORE = 6
@@ -125,3 +130,28 @@
     }
   }
 })
+
+// Guards against targets that are read late because only the read of the configuration shows that the log was restored.
+test('targets are read in time after the log is restored', async () => {
+  for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+    const dataCenter = new DataCenters.DataCenter(8, seed)
+    const { store } = dataCenter
+    try {
+      dataCenter.publish(1)
+      await dataCenter.advance(8_000 + seed * 230)
+      store.isSilent = true
+      await dataCenter.advance(100)
+      store.isSilent = false
+      store.restore({ configuration: 0, targets: 0 })
+      const added = Samples.registration('added', { host: Decisions.Ids.endpoint('10.0.0.99:80') })
+      store.stored.targets.push(RegistrationRecords.encode(added))
+      await dataCenter.advance(RECOVERY_LIMIT_MS)
+      const missing = dataCenter.hosts.filter(host => dataCenter.node(host).directory.get(added.target) === undefined)
+      assert.deepEqual(missing, [], `seed ${seed}`)
+    } finally {
+      dataCenter.close()
+      mock.timers.reset()
+    }
+  }
+})
