fix(proxy): publish registrations again that a restored log has lost

By test: a node that starts after the store came back older sends requests to a target that had left, and none to one that had joined. Cause: nodes write a registration once, when it changes, and keep what the log had acknowledged as written. Records that the log loses are written again by nobody; only a host that still runs and reads an older state of its own target noticed. Ruled out: the directories of running nodes. They keep the newest state they have seen. Change: after the newest record of each key was read, a node compares it with its directory. A state that only a node knew which ended just then is lost for good, as with any write that was not acknowledged in the newer history.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -21,6 +21,7 @@
 import type * as Settings from './settings.js'
 import * as ConfigurationStates from './state/configuration-state.js'
 import * as Registrars from './state/registrar.js'
+import * as RegistrationRecoveries from './state/registration-recovery.js'
 import * as RelayedLogs from './state/relayed-log.js'
 import * as SettingsStates from './state/settings-state.js'
 import type * as SharedLogs from './state/shared-log.js'
@@ -66,6 +67,7 @@
   readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly gateway: Gateways.Gateway
   readonly registrar: Registrars.Registrar
+  readonly registrationRecovery: RegistrationRecoveries.RegistrationRecovery
   readonly synchronizer: Synchronizers.Synchronizer
   readonly membership: Membership.Membership
   readonly servers: Servers.Servers
@@ -188,16 +190,13 @@
   const container = Awilix.createContainer<Cradle>({ strict: true })
   container.register({
     ...asValues(dependencies),
+    ...stateComponents(),
     random: Awilix.asFunction(createRandom).singleton(),
-    directory: Awilix.asClass(Directories.Directory).singleton(),
-    configuration: Awilix.asClass(ConfigurationStates.ConfigurationState).singleton(),
-    settingsState: Awilix.asClass(SettingsStates.SettingsState).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
     connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
     nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
     nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
-    sharedLog: Awilix.asClass(RelayedLogs.RelayedLog).singleton(),
     quarantine: Awilix.asClass(Quarantines.Quarantine).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
       clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine,
@@ -207,7 +206,6 @@
     })).singleton(),
     reportChannel: Awilix.asClass(ReportChannels.ReportChannel).singleton(),
     hostServer: Awilix.asClass(HostServers.HostServer).singleton(),
-    stateTransfer: Awilix.asClass(StateTransfers.StateTransfer).singleton(),
     targetSelector: Awilix.asFunction((cradle: Cradle) => new TargetSelectors.TargetSelector(cradle.settings.location, cradle.views, cradle.random)).singleton(),
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
@@ -216,9 +214,6 @@
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
     gateway: Awilix.asClass(Gateways.Gateway).singleton(),
-    registrar: Awilix.asFunction((cradle: Cradle) => new Registrars.Registrar(cradle.sharedLog, cradle.log, cradle.random)).singleton(),
-    synchronizer: Awilix.asClass(Synchronizers.Synchronizer).singleton(),
-    membership: Awilix.asClass(Membership.Membership).singleton(),
     servers: Awilix.asClass(Servers.Servers).singleton()
   })
   // Components register their handlers when they are constructed, and the container constructs them on first use.
@@ -226,6 +221,21 @@
   return container.cradle
 }
 
+/** Components that keep the configuration and the directory in sync with the shared log. */
+function stateComponents (): Awilix.NameAndRegistrationPair<Cradle> {
+  return {
+    directory: Awilix.asClass(Directories.Directory).singleton(),
+    configuration: Awilix.asClass(ConfigurationStates.ConfigurationState).singleton(),
+    settingsState: Awilix.asClass(SettingsStates.SettingsState).singleton(),
+    sharedLog: Awilix.asClass(RelayedLogs.RelayedLog).singleton(),
+    stateTransfer: Awilix.asClass(StateTransfers.StateTransfer).singleton(),
+    registrar: Awilix.asFunction((cradle: Cradle) => new Registrars.Registrar(cradle.sharedLog, cradle.log, cradle.random)).singleton(),
+    registrationRecovery: Awilix.asClass(RegistrationRecoveries.RegistrationRecovery).singleton(),
+    synchronizer: Awilix.asClass(Synchronizers.Synchronizer).singleton(),
+    membership: Awilix.asClass(Membership.Membership).singleton()
+  }
+}
+
 function createRandom ({ settings }: Cradle): Decisions.Random.Random {
   return new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))
 }
--- a/packages/proxy/src/state/follower.ts
+++ b/packages/proxy/src/state/follower.ts
@@ -24,6 +24,8 @@
   /** Delay after new records, so that one read returns a series of changes. */
   batchDelay (): Decisions.Clock.Milliseconds
   apply (record: SharedLogs.KeyedRecord): void
+  /** Called when the newest record of each key was read, once these records are applied. */
+  onNewestApplied?: (records: readonly SharedLogs.KeyedRecord[]) => void
   /** Called after each successful read, once its records are applied; also when there were none. */
   onBatchApplied (): void
 }
@@ -71,8 +73,10 @@
       this.failingSince = undefined
       this.failureCount = 0
     }
+    const isNewestOfEachKey = this.position === undefined
     this.position = batch.next
     for (const record of newestOfEachKey(batch.records)) this.subscription.apply(record)
+    if (isNewestOfEachKey) this.subscription.onNewestApplied?.(batch.records)
     this.subscription.onBatchApplied()
     const batchDelay = this.subscription.batchDelay()
     if (batch.records.length > 0 && batchDelay > 0) await Delays.delay(batchDelay)
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -12,6 +12,7 @@
 import * as Followers from './follower.js'
 import type * as StateTransfers from './state-transfer.js'
 import type * as Registrars from './registrar.js'
+import type * as RegistrationRecoveries from './registration-recovery.js'
 import type * as RelayedLogs from './relayed-log.js'
 import * as RegistrationRecords from './registration-record.js'
 import type * as SharedLogs from './shared-log.js'
@@ -43,6 +44,7 @@
   readonly views: HostViews.HostViews
   readonly stateTransfer: StateTransfers.StateTransfer
   readonly registrar: Registrars.Registrar
+  readonly registrationRecovery: RegistrationRecoveries.RegistrationRecovery
   readonly membership: Membership.Membership
   readonly readConfiguration: ConfigurationReader
 }
@@ -73,6 +75,7 @@
     clearInterval(this.peerTimer)
     clearTimeout(this.versionTimer)
     for (const follower of this.followers) follower.stop()
+    this.dependencies.registrationRecovery.stop()
   }
 
   /** Requests the state of the node at `address`, which has this version in force, if the shared log does not deliver the version in time. */
@@ -97,13 +100,14 @@
   }
 
   private followTargets (): Followers.Follower {
-    const { clock } = this.dependencies
+    const { clock, registrationRecovery } = this.dependencies
     const startedAt = clock.now()
     return new Followers.Follower(this.dependencies, {
       topic: 'targets',
       pollTimeout: POLL_TIMEOUT,
       batchDelay: () => clock.now() - startedAt < STARTUP_DURATION ? STARTUP_BATCH_DELAY : TARGETS_BATCH_DELAY,
       apply: record => { this.applyRegistration(record) },
+      onNewestApplied: records => { registrationRecovery.compare(records.flatMap(record => RegistrationRecords.decode(record).map(registration => [registration]).unwrapOr([]))) },
       onBatchApplied: () => { this.completeDirectoryRead() }
     })
   }
@@ -130,7 +134,7 @@
   }
 
   private applyRegistration (record: SharedLogs.KeyedRecord): void {
-    const { directory, log, registrar, settings, views } = this.dependencies
+    const { directory, log, registrar, registrationRecovery, settings, views } = this.dependencies
     if (record.value === undefined) {
       directory.remove(Decisions.Ids.targetId(record.key))
       return
@@ -141,6 +145,7 @@
       return
     }
     const registration = read.value
+    registrationRecovery.recordStored(registration)
     if (registration.host === settings.location.host) void registrar.republishIfOutdated(registration)
     const known = directory.get(registration.target)
     if (!directory.merge(registration)) return
--- a/packages/proxy/tests/support/data-center.ts
+++ b/packages/proxy/tests/support/data-center.ts
@@ -9,6 +9,7 @@
 import * as Logs from '../../src/observation/log.js'
 import * as ConfigurationStates from '../../src/state/configuration-state.js'
 import * as Registrars from '../../src/state/registrar.js'
+import * as RegistrationRecoveries from '../../src/state/registration-recovery.js'
 import * as RegistrationRecords from '../../src/state/registration-record.js'
 import * as RelayedLogs from '../../src/state/relayed-log.js'
 import * as StateTransfers from '../../src/state/state-transfer.js'
@@ -21,21 +22,28 @@
 /** Steps of the event loop that are enough for all reactions within a step of the clock. */
 const SETTLE_STEPS = 8
 
+export interface Node {
+  readonly configuration: ConfigurationStates.ConfigurationState
+  readonly directory: Directories.Directory
+  readonly membership: Membership.Membership
+  readonly close: () => void
+}
+
 export class DataCenter {
   readonly store = new MemoryLogs.MemoryLog()
   private readonly clock = new Decisions.Clock.VirtualClock()
   readonly network = new MemoryNetworks.MemoryNetwork()
   readonly hosts: readonly Decisions.Ids.Endpoint[]
-  private readonly states: ConfigurationStates.ConfigurationState[] = []
-  private readonly closers: (() => void)[] = []
+  private readonly nodes = new Map<Decisions.Ids.Endpoint, Node>()
 
   constructor (nodes: number, seed: number) {
     this.hosts = Array.from({ length: nodes }, (_, index) => Decisions.Ids.endpoint(`10.0.0.${index}:80`))
     for (const [index, host] of this.hosts.entries()) this.store.stored.targets.push(RegistrationRecords.encode(Samples.registration(`t${index}`, { host })))
-    for (const [index, host] of this.hosts.entries()) this.addNode(host, seed * nodes + index)
+    for (const [index, host] of this.hosts.entries()) this.start(host, seed * nodes + index)
   }
 
-  private addNode (host: Decisions.Ids.Endpoint, seed: number): void {
+  /** Starts a node without any state. */
+  start (host: Decisions.Ids.Endpoint, seed: number): Node {
     const { clock } = this
     const store = this.store.clientOf(host)
     const log = new Logs.SilentLog()
@@ -52,18 +60,35 @@
     const sharedLog = new RelayedLogs.RelayedLog({ store, settings, clock, log, directory, nodeChannel: this.network.channelOf(host), nodeRpc })
     const registrar = new Registrars.Registrar(sharedLog, log, random)
     const membership = new Membership.Membership({ settings, log, directory, localTarget: new LocalTargets.LocalTarget(), host: { resetTarget: () => { /* No target. */ } }, registrar, views })
+    const registrationRecovery = new RegistrationRecoveries.RegistrationRecovery({ settings, log, random, directory, registrar, sharedLog })
     const synchronizer = new Synchronizers.Synchronizer({
-      settings, log, clock, random, sharedLog, configuration, directory, views, registrar, membership,
+      settings, log, clock, random, sharedLog, configuration, directory, views, registrar, registrationRecovery, membership,
       stateTransfer: new StateTransfers.StateTransfer({ clock, log, configuration, directory, nodeRpc }),
       readConfiguration: record => neverthrow.ok(Samples.configuration({ version: Decisions.Ids.version(Number(record.value)) }))
     })
     sharedLog.start()
     synchronizer.start()
-    this.states.push(configuration)
-    this.closers.push(() => {
+    const close = (): void => {
       synchronizer.stop()
+      registrar.stop()
       sharedLog.close()
-    })
+    }
+    const node = { configuration, directory, membership, close }
+    this.nodes.set(host, node)
+    return node
+  }
+
+  /** Ends a node, which neither sends nor answers anything more. */
+  kill (host: Decisions.Ids.Endpoint): void {
+    this.nodes.get(host)?.close()
+    this.nodes.delete(host)
+    this.network.silent.add(host)
+  }
+
+  node (host: Decisions.Ids.Endpoint | undefined): Node {
+    const node = host === undefined ? undefined : this.nodes.get(host)
+    if (node === undefined) throw new RangeError(`no node at ${host ?? 'an unknown address'}`)
+    return node
   }
 
   publish (version: number): void {
@@ -79,10 +104,10 @@
   }
 
   versions (): readonly number[] {
-    return this.states.map(({ version }) => version)
+    return [...this.nodes.values()].map(({ configuration }) => configuration.version)
   }
 
   close (): void {
-    for (const close of this.closers) close()
+    for (const { close } of this.nodes.values()) close()
   }
 }
