fix(proxy): transfer registrations between nodes by what makes them newer

Callers saw: nothing yet; found while the restored log was traced. Cause: a node that asks a peer names the sequence number of each registration, and gets those with a higher one. A target that deregisters without a further announcement is gone with the same number, and one that is started again under its id counts anew, so neither reached a node that reads from peers. Ruled out: the merge at the node. It compares incarnation, state and sequence number. Change: the request names these three, and the peer compares in the same way. A node of an earlier version answers such a request with an error; the next peer is asked.

--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -1,8 +1,9 @@
-/** Transfers the configuration and registrations between nodes while the shared log does not answer one of them. */
+/** Transfers the configuration and registrations between nodes, for a node that has just started or that the shared log does not answer. */
 import * as Decisions from '@jasminedale/decisions'
 import * as neverthrow from 'neverthrow'
 import * as zod from 'zod'
 import type * as Directories from '../directory/directory.js'
+import * as Registrations from '../directory/registration.js'
 import type * as Logs from '../observation/log.js'
 import type * as NodeRpcs from '../transport/node-rpc.js'
 import type * as ConfigurationStates from './configuration-state.js'
@@ -18,8 +19,11 @@
   readonly nodeRpc: Pick<NodeRpcs.NodeRpc, 'addMethod' | 'call'>
 }
 
-/** Version of the configuration in force at the requesting node, and the sequence number of each registration it has. */
-const paramsSchema = zod.object({ version: zod.number(), known: zod.record(zod.string(), zod.number()) })
+/** Incarnation, state and sequence number. */
+const revisionSchema = zod.tuple([zod.number().transform(Decisions.Ids.incarnation), zod.enum(['ready', 'leaving', 'gone']), zod.number()])
+  .transform(([incarnation, state, sequence]) => ({ incarnation, state, sequence }))
+/** Version of the configuration in force at the requesting node, and the revision of each registration it has. */
+const paramsSchema = zod.object({ version: zod.number(), known: zod.record(zod.string(), revisionSchema) })
 
 const destinationSchema = zod.object({ service: zod.string().transform(Decisions.Ids.service), weight: zod.number().nonnegative() })
 const durationSchema = zod.number().transform(Decisions.Clock.milliseconds)
@@ -41,7 +45,7 @@
   registrations: zod.array(zod.unknown())
 })
 
-type Params = zod.infer<typeof paramsSchema>
+type Params = zod.output<typeof paramsSchema>
 type Result = zod.infer<typeof resultSchema>
 
 export class StateTransfer {
@@ -49,7 +53,7 @@
     dependencies.nodeRpc.addMethod(METHOD, params => this.newerState(paramsSchema.parse(params)))
   }
 
-  /** Requests newer state from the node at `address` and merges it. Returns whether anything changed. */
+  /** Requests newer state from the node at `address` and merges it. Returns whether that node answered. */
   async fetchFrom (address: Decisions.Ids.Endpoint): Promise<boolean> {
     const { clock, log, configuration, nodeRpc } = this.dependencies
     const reply = await nodeRpc.call(address, METHOD, this.knownVersions())
@@ -62,18 +66,21 @@
     const changed = this.mergeState(result.value)
     if (result.value.current) configuration.recordContact(clock.now())
     if (changed) log.info('state taken over from a peer', { peer: address, version: configuration.version, checksum: configuration.current?.checksum, contactAge })
-    return changed
+    return true
   }
 
-  private knownVersions (): Params {
+  private knownVersions (): zod.input<typeof paramsSchema> {
     const { configuration, directory } = this.dependencies
-    return { version: configuration.version, known: Object.fromEntries(directory.allTargets().map(({ target, sequence }) => [target, sequence])) }
+    return { version: configuration.version, known: Object.fromEntries(directory.allTargets().map(({ target, incarnation, state, sequence }) => [target, [incarnation, state, sequence]])) }
   }
 
   private newerState (params: Params): Result {
     const { configuration, directory, clock } = this.dependencies
     const { current } = configuration
-    const newerRegistrations = directory.allTargets().filter(({ target, sequence }) => sequence > (params.known[target] ?? -1))
+    const newerRegistrations = directory.allTargets().filter(registration => {
+      const known = params.known[registration.target]
+      return known === undefined || Registrations.isNewer(registration, known)
+    })
     return {
       current: configuration.isCurrent(clock.now()),
       ...(current !== undefined && current.version > params.version ? { configuration: current } : {}),
