fix(proxy): let a node that starts ask a peer for what a restored log lost

Callers saw: nothing yet; found while restarts were traced. Cause: a node that starts takes what the log holds for the newest. Until the operator and the hosts have written again what a restored log lost, that is an older version and a target that has left; its peers know better, and are asked only by a node that the log does not answer. Change: after it has read the directory, a node asks up to three near peers until one answers. A lost registration of another host is published after 1.0 to 2.5 s in place of 2.5 to 4.5 s, so before a node that restarts counts as in touch. The check of a relay whose read hangs also notices the new epoch. Figures: lost-registration.test.ts, node that starts: version 1 of 2 and a departed target ready 1 s after its start before; passes. Conclusion: fixed, as long as one of three near peers has run since before the loss.

--- a/packages/proxy/src/state/registration-recovery.ts
+++ b/packages/proxy/src/state/registration-recovery.ts
@@ -14,8 +14,8 @@
 import type * as RelayedLogs from './relayed-log.js'
 
 /** Time for which a host may publish its registrations itself. The actual delay is longer by up to the second value, so that the relays of several groups do not write the same. */
-const HOST_TIMEOUT_MS = 2_500
-const HOST_TIMEOUT_JITTER_MS = 2_000
+const HOST_TIMEOUT_MS = 1_000
+const HOST_TIMEOUT_JITTER_MS = 1_500
 
 export interface RegistrationRecoveryDependencies {
   readonly settings: Pick<Settings.ProxySettings, 'location'>
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -132,7 +132,6 @@
 
   private async readStore (topic: SharedLogs.Topic, position: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
     const read = await this.readStoreInEpoch(topic, position, wait)
-    if (read.isErr() && read.error.kind === 'restored') this.recordEpoch(read.error.epoch)
     if (read.isErr()) return read
     this.buffers[topic].append(read.value)
     this.recordContact(topic)
@@ -142,13 +141,15 @@
 
   /** Reads from the log until another read shows that it was restored: the connection of this one may have died with it. */
   private async readStoreInEpoch (topic: SharedLogs.Topic, position: SharedLogs.Position, wait: Decisions.Clock.Milliseconds): SharedLogs.LogResult<SharedLogs.Batch> {
-    return await new Promise((resolve, reject) => {
+    const read = await new Promise<Awaited<SharedLogs.LogResult<SharedLogs.Batch>>>((resolve, reject) => {
       const abandon = (epoch: SharedLogs.Epoch): void => {
         if (epoch !== position.epoch) resolve(neverthrow.err({ kind: 'restored', epoch }))
       }
       this.pendingReads.add(abandon)
       this.dependencies.store.readFrom(topic, position, wait).finally(() => { this.pendingReads.delete(abandon) }).then(resolve, reject)
     })
+    if (read.isErr() && read.error.kind === 'restored') this.recordEpoch(read.error.epoch)
+    return read
   }
 
   private recordEpoch (epoch: SharedLogs.Epoch): void {
@@ -209,7 +210,7 @@
     const { next } = this.buffers.configuration
     if (this.isChecking || next === undefined) return
     this.isChecking = true
-    const read = await this.dependencies.store.readFrom('configuration', next, DIRECT_READ_TIMEOUT)
+    const read = await this.readStoreInEpoch('configuration', next, DIRECT_READ_TIMEOUT)
     this.isChecking = false
     if (read.isOk() && read.value.records.length === 0) this.recordContact('configuration')
     if (read.isErr()) this.dependencies.log.info('relay cannot reach the shared log', { failure: read.error.kind, contactAge: Math.round(this.contactAge()) })
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -1,4 +1,4 @@
-/** Keeps the configuration and the directory in sync with the shared log, or with peers while the log does not answer. */
+/** Keeps the configuration and the directory in sync with the shared log, and with peers at the start and while the log does not answer. */
 import * as Decisions from '@jasminedale/decisions'
 import type * as neverthrow from 'neverthrow'
 import type * as Directories from '../directory/directory.js'
@@ -32,6 +32,8 @@
 const STARTUP_DURATION = Decisions.Clock.seconds(4)
 /** Interval of state requests to peers while the log does not answer. */
 const PEER_REQUEST_INTERVAL_MS = 700
+/** Peers that a node asks at its start until one of them answers. */
+const START_ATTEMPTS = 3
 /** Time for the log to deliver a version that another node already has, before that node is asked for it. */
 const LOG_DELIVERY_TIMEOUT_MS = 300
 
@@ -117,6 +119,16 @@
     this.isDirectoryRead = true
     this.dependencies.membership.adoptRegistration()
     this.dependencies.log.info('directory read', { targets: this.dependencies.directory.readyCount })
+    void this.fetchAtStart()
+  }
+
+  /** Requests the state of a peer: a log that was just restored may not hold yet again what the peers have read from it. */
+  private async fetchAtStart (): Promise<void> {
+    const { stateTransfer, random } = this.dependencies
+    for (let attempt = 0; attempt < START_ATTEMPTS; attempt += 1) {
+      const peer = random.pick(this.nearestPeers())
+      if (peer === undefined || await stateTransfer.fetchFrom(peer.host)) return
+    }
   }
 
   private applyConfiguration (record: SharedLogs.KeyedRecord): void {
--- a/packages/proxy/tests/state/lost-registration.test.ts
+++ b/packages/proxy/tests/state/lost-registration.test.ts
@@ -13,6 +13,9 @@
 /** The same for what a node had registered that no longer runs. */
 const REPLACEMENT_LIMIT_MS = 8_000
 
+/** Time after its start within which a node knows what its peers know. */
+const START_LIMIT_MS = 1_000
+
 async function withDataCenter (run: (dataCenter: DataCenters.DataCenter) => Promise<void>): Promise<void> {
   mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
   const dataCenter = new DataCenters.DataCenter(NODES, 1)
@@ -82,6 +85,23 @@
   })
 }
 
+// Guards against a node that starts with what a restored log holds until the operator and the hosts have written again what it lost.
+test('node that starts after the log was restored takes over what it lost from a peer', async () => {
+  await withDataCenter(async dataCenter => {
+    const host = dataCenter.hosts[3] ?? Decisions.Ids.endpoint('')
+    dataCenter.publish(2)
+    assert.equal(await dataCenter.node(host).membership.deregister(LEAVING), true)
+    await dataCenter.advance(1_000)
+    dataCenter.kill(host)
+    dataCenter.store.restore({ configuration: 1, targets: 1 })
+    dataCenter.network.silent.delete(host)
+    const started = dataCenter.start(host, 99)
+    await dataCenter.advance(START_LIMIT_MS)
+    assert.equal(started.configuration.version, 2)
+    assert.equal(started.directory.get(LEAVING)?.state, 'gone')
+  })
+})
+
 // Guards against many nodes that write the same lost registrations.
 test('each lost registration is written a few times at most', async () => {
   await withDataCenter(async dataCenter => {
