feat(proxy): show the position in the shared log in the status of a node

Operators compare it between nodes after the store came back from an older copy: a node in an earlier epoch has not noticed. No decision depends on it.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -83,6 +83,8 @@
   readonly readyTargets: number
   /** Address of the node through which the shared log is read, `direct` or `as relay`. */
   readonly logSource: string
+  /** Position of the configuration in the shared log up to which this node has read, `EPOCH:OFFSET`. */
+  readonly logPosition: string | undefined
   /** Undefined before the first configuration. `contactAge` is the time since a newer version was last ruled out. */
   readonly configuration: (Metrics.InForce & { readonly contactAge: number }) | undefined
   readonly settings: Metrics.InForce & { readonly awaitingRestart: readonly string[] }
@@ -137,7 +139,7 @@
     const now = clock.now()
     const { current } = configuration
     return {
-      node, service, dataCenter: location.dataCenter, region: location.region, isReady: this.isReady, readyTargets: this.readyTargetCount, logSource: sharedLog.currentSource,
+      node, service, dataCenter: location.dataCenter, region: location.region, isReady: this.isReady, readyTargets: this.readyTargetCount, logSource: sharedLog.currentSource, logPosition: sharedLog.currentPosition,
       configuration: current === undefined
         ? undefined
         : { version: current.version, checksum: current.checksum, age: configuration.inForceFor(now) ?? 0, contactAge: configuration.contactAge(now) },
--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -83,6 +83,11 @@
     return this.source
   }
 
+  /** Position of the configuration up to which this node has read, `EPOCH:OFFSET`; undefined before it has read the log. */
+  get currentPosition (): string | undefined {
+    return describe(this.positions())
+  }
+
   /** The relay that this node hears, whether or not the log answers this node itself; undefined on the relay. */
   get relay (): Decisions.Ids.Endpoint | undefined {
     return this.isRelay() ? undefined : this.activeRelay()?.host
@@ -299,7 +304,7 @@
   }
 }
 
-/** Position of the configuration for a log line, `EPOCH:OFFSET`. */
+/** Position of the configuration, `EPOCH:OFFSET`. */
 function describe (positions: RelaySelectors.Positions | undefined): string | undefined {
   return positions === undefined ? undefined : `${positions.configuration.epoch}:${positions.configuration.offset}`
 }
