fix(proxy): let the nodes of a group wait by position for a relay

By test: with a log that answers 1 node in 8, versions come into force more than 2 s late for as long as it takes to find a relay. Cause: without a relay, each node of the group was awaited for 1.5 s, one after the other, though a node that the log does not answer cannot act. With most nodes turned away that takes 1.5 s times their number, and begins again after 10 s. Ruled out: the restored log. The test fails without it. Change: a node acts as relay when none has been in contact for 1.5 s and 50 ms for each node before it; only a node in contact announces itself, and one that hears an earlier relay stops. Conclusion: fixed where the log answers a node of the group.

--- a/packages/proxy/src/state/relay-selector.ts
+++ b/packages/proxy/src/state/relay-selector.ts
@@ -14,7 +14,9 @@
 const GROUP_SIZE = 32
 /** Time since the last contact of a relay with the log after which its group no longer relies on it. */
 export const CONTACT_AGE_MAXIMUM = Decisions.Clock.milliseconds(1_500)
-/** Time for which a relay that is silent, or cannot be called, is passed over. */
+/** Time by which a node waits longer for a relay than the node before it in the group, in which an announcement arrives. */
+const STAGGER = Decisions.Clock.milliseconds(50)
+/** Time for which a relay that cannot be called is passed over. */
 const SUSPICION_DURATION = Decisions.Clock.seconds(10)
 
 /** Position after the last record that a node has read, by topic. */
@@ -39,9 +41,8 @@
 export class RelaySelector {
   private readonly relays = new Map<Decisions.Ids.Endpoint, Relay>()
   private readonly suspectedUntil = new Map<Decisions.Ids.Endpoint, Decisions.Clock.Milliseconds>()
-  /** The node that should be the relay and has not been heard yet, and since when. */
-  private awaited: { readonly host: Decisions.Ids.Endpoint, readonly since: Decisions.Clock.Milliseconds } | undefined
-
+  /** When this node first looked for a relay. */
+  private waitingSince: Decisions.Clock.Milliseconds | undefined
   private isActing = false
 
   constructor (private readonly own: Decisions.Ids.Endpoint) {}
@@ -73,32 +74,27 @@
   }
 
   /**
-   * Whether this node is to act as relay: it is the first of the group, or those before it are suspected to have failed.
-   * A relay goes on until one before it is active, so that the group always has one when a node joins.
+   * Whether this node is to act as relay: it is the first of the group, or no relay has been in contact with the log for
+   * too long. Each node waits a little longer than those before it, since only those that the log answers can act as
+   * relay, and all others would be waited for in vain. A relay goes on until one before it is active, so that the group
+   * always has one when a node joins.
    */
   isRelay (group: readonly Decisions.Ids.Endpoint[], now: Decisions.Clock.Milliseconds): boolean {
     const position = group.indexOf(this.own)
     const isFirst = position >= 0 && group.slice(0, position).every(host => this.isSuspected(host, now))
-    this.isActing = position >= 0 && (isFirst || (this.isActing && this.activeRelay(group.slice(0, position), now) === undefined))
+    const isNext = position >= 0 && now - this.lastContactAt(group, now) > CONTACT_AGE_MAXIMUM + position * STAGGER
+    this.isActing = isFirst || isNext || (position >= 0 && this.isActing && this.activeRelay(group.slice(0, position), now) === undefined)
     return this.isActing
   }
 
-  /** Whether a node is passed over. The first that is not is expected to announce itself in time. */
+  /** Whether a node could not be called, and has not announced itself since. */
   private isSuspected (host: Decisions.Ids.Endpoint, now: Decisions.Clock.Milliseconds): boolean {
-    if ((this.suspectedUntil.get(host) ?? 0) > now) return true
-    if (!this.isOverdue(host, now)) return false
-    this.recordFailure(host, now)
-    return true
+    return (this.suspectedUntil.get(host) ?? 0) > now
   }
 
-  /** Whether a node that should be the relay has been silent, or without contact, for too long. */
-  private isOverdue (host: Decisions.Ids.Endpoint, now: Decisions.Clock.Milliseconds): boolean {
-    const contactAt = this.relays.get(host)?.contactAt
-    if (contactAt !== undefined && now - contactAt <= CONTACT_AGE_MAXIMUM) {
-      this.awaited = undefined
-      return false
-    }
-    if (this.awaited?.host !== host) this.awaited = { host, since: now }
-    return now - this.awaited.since > CONTACT_AGE_MAXIMUM
+  /** When another relay of the group was last in contact with the log; at the earliest when this node began to wait for one. */
+  private lastContactAt (group: readonly Decisions.Ids.Endpoint[], now: Decisions.Clock.Milliseconds): number {
+    this.waitingSince ??= now
+    return Math.max(this.waitingSince, ...group.map(host => host === this.own ? -Infinity : this.relays.get(host)?.contactAt ?? -Infinity))
   }
 }
--- a/packages/proxy/tests/state/hanging-read.test.ts
+++ b/packages/proxy/tests/state/hanging-read.test.ts
@@ -54,3 +54,28 @@
     }
   }
 })
+
+// Guards against a group that tries its nodes as relay one after the other, although the log answers only a few of them.
+for (const nodes of [8, 30]) {
+  test(`configuration is in force in time at ${nodes} nodes of which the log answers a few`, async () => {
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+      mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+      const dataCenter = new DataCenters.DataCenter(nodes, seed)
+      const { store, hosts } = dataCenter
+      try {
+        dataCenter.publish(1)
+        await dataCenter.advance(6_000 + seed * 370)
+        for (const [index, host] of hosts.entries()) if ((index + seed) % 8 > 0) store.unreachable.add(host)
+        await dataCenter.advance(RECOVERY_LIMIT_MS)
+        for (let version = 2; version < 5; version += 1) {
+          dataCenter.publish(version)
+          await dataCenter.advance(APPLY_LIMIT_MS)
+          assert.deepEqual(dataCenter.versions(), Array(nodes).fill(version), `seed ${seed}`)
+        }
+      } finally {
+        dataCenter.close()
+        mock.timers.reset()
+      }
+    }
+  })
+}
--- a/packages/proxy/tests/state/restored-log.test.ts
+++ b/packages/proxy/tests/state/restored-log.test.ts
@@ -12,8 +12,6 @@
 /** Time between two configurations after the log has been restored, short enough that a node sees the log only as long as before. */
 const PUBLICATION_INTERVAL_MS = 300
 const PUBLISHED_BEFORE = 6
-/** Time within which a group finds a relay that reaches the log, although three quarters of its nodes do not. */
-const RELAY_CHOICE_MS = 15_000
 
 interface Restoration {
   readonly nodes: number
@@ -118,7 +116,7 @@
       store.isSilent = false
       store.restore({ configuration: 4, targets: 0 })
       dataCenter.publish(PUBLISHED_BEFORE)
-      await dataCenter.advance(RELAY_CHOICE_MS)
+      await dataCenter.advance(RECOVERY_LIMIT_MS)
       for (let version = PUBLISHED_BEFORE + 1; version <= PUBLISHED_BEFORE + 8; version += 1) {
         dataCenter.publish(version)
         await dataCenter.advance(APPLY_LIMIT_MS)
