fix(proxy): ask other data centers for the version when the log answers no node of this one

Cause: a node that the log does not answer asks nodes of its data center only. If the log answers none of them, versions come only with responses of other data centers. Ruled out: the choice of the relay. No node of that data center can be one. Change: without a relay, such a node also asks a node of another data center every 0.7 s, half of the time within its region, for the configuration alone.

--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -22,8 +22,8 @@
 /** Incarnation, state and sequence number. */
 const revisionSchema = zod.tuple([zod.number().transform(Decisions.Ids.incarnation), zod.enum(['ready', 'leaving', 'gone']), zod.number()])
   .transform(([incarnation, state, sequence]) => ({ incarnation, state, sequence }))
-/** Version of the configuration in force at the requesting node, and the revision of each registration it has. */
-const paramsSchema = zod.object({ version: zod.number(), known: zod.record(zod.string(), revisionSchema) })
+/** Version of the configuration in force at the requesting node, and the revision of each registration it has; absent if it asks for none. */
+const paramsSchema = zod.object({ version: zod.number(), known: zod.record(zod.string(), revisionSchema).optional() })
 
 const destinationSchema = zod.object({ service: zod.string().transform(Decisions.Ids.service), weight: zod.number().nonnegative() })
 const durationSchema = zod.number().transform(Decisions.Clock.milliseconds)
@@ -55,8 +55,17 @@
 
   /** Requests newer state from the node at `address` and merges it. Returns whether that node answered. */
   async fetchFrom (address: Decisions.Ids.Endpoint): Promise<boolean> {
+    return await this.fetch(address, { version: this.dependencies.configuration.version, known: this.knownRevisions() })
+  }
+
+  /** The same for the configuration alone: a request of constant size, for nodes across a narrow link. */
+  async fetchConfigurationFrom (address: Decisions.Ids.Endpoint): Promise<boolean> {
+    return await this.fetch(address, { version: this.dependencies.configuration.version })
+  }
+
+  private async fetch (address: Decisions.Ids.Endpoint, params: zod.input<typeof paramsSchema>): Promise<boolean> {
     const { clock, log, configuration, nodeRpc } = this.dependencies
-    const reply = await nodeRpc.call(address, METHOD, this.knownVersions())
+    const reply = await nodeRpc.call(address, METHOD, params)
     const result = reply.andThen(value => parseResult(value))
     if (result.isErr()) {
       log.info('state request to a peer failed', { peer: address, error: result.error.detail })
@@ -69,22 +78,24 @@
     return true
   }
 
-  private knownVersions (): zod.input<typeof paramsSchema> {
-    const { configuration, directory } = this.dependencies
-    return { version: configuration.version, known: Object.fromEntries(directory.allTargets().map(({ target, incarnation, state, sequence }) => [target, [incarnation, state, sequence]])) }
+  private knownRevisions (): zod.input<typeof paramsSchema>['known'] {
+    const { directory } = this.dependencies
+    return Object.fromEntries(directory.allTargets().map(({ target, incarnation, state, sequence }) => [target, [incarnation, state, sequence]]))
   }
 
-  private newerState (params: Params): Result {
+  private newerState ({ version, known }: Params): Result {
     const { configuration, directory, clock } = this.dependencies
     const { current } = configuration
-    const newerRegistrations = directory.allTargets().filter(registration => {
-      const known = params.known[registration.target]
-      return known === undefined || Registrations.isNewer(registration, known)
-    })
+    const registrations = known === undefined
+      ? []
+      : directory.allTargets().filter(registration => {
+          const revision = known[registration.target]
+          return revision === undefined || Registrations.isNewer(registration, revision)
+        })
     return {
       current: configuration.isCurrent(clock.now()),
-      ...(current !== undefined && current.version > params.version ? { configuration: current } : {}),
-      registrations: newerRegistrations
+      ...(current !== undefined && current.version > version ? { configuration: current } : {}),
+      registrations
     }
   }
 
--- a/packages/proxy/src/state/synchronizer.ts
+++ b/packages/proxy/src/state/synchronizer.ts
@@ -34,6 +34,8 @@
 const PEER_REQUEST_INTERVAL_MS = 700
 /** Peers that a node asks at its start until one of them answers. */
 const START_ATTEMPTS = 3
+/** Share of the requests to other data centers that stay in the region, where bytes cost less, if it has another one. */
+const SAME_REGION_SHARE = 0.5
 /** Time for the log to deliver a version that another node already has, before that node is asked for it. */
 const LOG_DELIVERY_TIMEOUT_MS = 300
 
@@ -170,8 +172,20 @@
     const { clock, stateTransfer, sharedLog, random } = this.dependencies
     const isLogUnavailable = this.followers.some(follower => (follower.failureDuration(clock.now()) ?? 0) >= PEER_REQUEST_INTERVAL_MS)
     if (!isLogUnavailable) return
-    const peer = sharedLog.relay ?? random.pick(this.nearestPeers())?.host
-    if (peer !== undefined) void stateTransfer.fetchFrom(peer)
+    const { relay } = sharedLog
+    const near = relay ?? random.pick(this.nearestPeers())?.host
+    if (near !== undefined) void stateTransfer.fetchFrom(near)
+    // Without a relay, the log may answer no node of this data center.
+    const distant = relay === undefined ? this.distantPeer()?.host : undefined
+    if (distant !== undefined) void stateTransfer.fetchConfigurationFrom(distant)
+  }
+
+  /** A node with a ready target outside the data center of this node, more often in its region than elsewhere. */
+  private distantPeer (): Registrations.Registration | undefined {
+    const { directory, random, settings: { location } } = this.dependencies
+    const others = directory.allTargets().filter(registration => registration.state === 'ready' && registration.dataCenter !== location.dataCenter)
+    const sameRegion = others.filter(registration => registration.region === location.region)
+    return random.pick(sameRegion.length > 0 && random.fraction() < SAME_REGION_SHARE ? sameRegion : others)
   }
 
   /** Other nodes with a ready target: those in the data center of this node, else those in its region, else all. */
--- a/packages/proxy/tests/state/hanging-read.test.ts
+++ b/packages/proxy/tests/state/hanging-read.test.ts
@@ -79,3 +79,25 @@
     }
   })
 }
+
+// Guards against a data center that the log does not answer at all, whose nodes ask only each other.
+test('configuration is in force in time in a data center of which the log answers no node', async () => {
+  for (const seed of [1, 2, 3, 4, 5, 6]) {
+    mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
+    const dataCenter = new DataCenters.DataCenter(8, seed, 8)
+    try {
+      dataCenter.publish(1)
+      await dataCenter.advance(6_000 + seed * 370)
+      for (const host of dataCenter.hosts.slice(8)) dataCenter.store.unreachable.add(host)
+      await dataCenter.advance(RECOVERY_LIMIT_MS + APPLY_LIMIT_MS)
+      for (let version = 2; version < 5; version += 1) {
+        dataCenter.publish(version)
+        await dataCenter.advance(APPLY_LIMIT_MS)
+        assert.deepEqual(dataCenter.versions(), Array(16).fill(version), `seed ${seed}`)
+      }
+    } finally {
+      dataCenter.close()
+      mock.timers.reset()
+    }
+  }
+})
--- a/packages/proxy/tests/support/data-center.ts
+++ b/packages/proxy/tests/support/data-center.ts
@@ -33,12 +33,15 @@
   readonly store = new MemoryLogs.MemoryLog()
   private readonly clock = new Decisions.Clock.VirtualClock()
   readonly network = new MemoryNetworks.MemoryNetwork()
+  private readonly elsewhere: number
   readonly hosts: readonly Decisions.Ids.Endpoint[]
   private readonly nodes = new Map<Decisions.Ids.Endpoint, Node>()
 
-  constructor (nodes: number, seed: number) {
-    this.hosts = Array.from({ length: nodes }, (_, index) => Decisions.Ids.endpoint(`10.0.0.${index}:80`))
-    for (const [index, host] of this.hosts.entries()) this.store.stored.targets.push(RegistrationRecords.encode(Samples.registration(`t${index}`, { host })))
+  /** The first `nodes` hosts are in data center `a`, the others in `b`. */
+  constructor (nodes: number, seed: number, nodesElsewhere = 0) {
+    this.elsewhere = nodesElsewhere
+    this.hosts = Array.from({ length: nodes + nodesElsewhere }, (_, index) => Decisions.Ids.endpoint(`10.0.0.${index}:80`))
+    for (const [index, host] of this.hosts.entries()) this.store.stored.targets.push(RegistrationRecords.encode(Samples.registration(`t${index}`, { host, dataCenter: this.dataCenterOf(host) })))
     for (const [index, host] of this.hosts.entries()) this.start(host, seed * nodes + index)
   }
 
@@ -53,7 +56,7 @@
     const views = new HostViews.HostViews()
     const nodeRpc = this.network.rpcOf(host)
     const settings = {
-      node: Decisions.Ids.nodeId(host), location: { host, dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }, service: Samples.SERVICE,
+      node: Decisions.Ids.nodeId(host), location: { host, dataCenter: this.dataCenterOf(host), region: Decisions.Ids.region('r') }, service: Samples.SERVICE,
       targetAddress: host, callerAddress: host, reportPort: 1, retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 1 },
       shutdownTimeout: Decisions.Clock.seconds(6), checksum: '0'
     }
@@ -78,6 +81,10 @@
     return node
   }
 
+  dataCenterOf (host: Decisions.Ids.Endpoint): Decisions.Ids.DataCenter {
+    return Decisions.Ids.dataCenter(this.hosts.indexOf(host) < this.hosts.length - this.elsewhere ? 'a' : 'b')
+  }
+
   /** Ends a node, which neither sends nor answers anything more. */
   kill (host: Decisions.Ids.Endpoint): void {
     this.nodes.get(host)?.close()
