fix(proxy): do not ask a relay again at once that lacks what it announced

Cause: a node reads from its relay as soon as the relay announces more than the node has. If the relay then returns nothing, as a process that was started again since, the node asks again at once, until the announcement is 1.5 s old. Ruled out: the restored log; the loop needs one epoch only. Change: the node reads the log and passes the relay over until it announces itself again. A closed node announces nothing, so that a test can restart one.

--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -174,8 +174,14 @@
       log.info('relay cannot be read; reading the shared log', { relay, topic, offset: position.offset, error: result.error.detail })
       return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
     }
-    if (result.value.batch === undefined) return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
-    const { records, next } = result.value.batch
+    const { batch: relayed } = result.value
+    if (relayed === undefined) return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
+    if (relayed.records.length === 0) {
+      this.selector.recordFailure(relay, clock.now())
+      log.info('relay does not have what it announced; reading the shared log', { relay, topic, offset: position.offset })
+      return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
+    }
+    const { records, next } = relayed
     const batch = { next, records: records.map(({ key, value }) => value === undefined ? { key } : { key, value: Buffer.from(value, 'base64') }) }
     this.buffers[topic].append(batch)
     return neverthrow.ok(batch)
@@ -261,7 +267,7 @@
     const { nodeChannel, settings: { location } } = this.dependencies
     const contactAge = this.contactAge()
     const positions = this.positions()
-    if (contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || positions === undefined) return
+    if (this.isClosed || contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || positions === undefined) return
     const { configuration, targets } = positions
     const params = [location.host, [configuration.epoch, configuration.offset], [targets.epoch, targets.offset], Math.ceil(contactAge)]
     nodeChannel.notify(ANNOUNCEMENT_METHOD, params, this.currentGroup().filter(host => host !== location.host))
--- a/packages/proxy/tests/state/relayed-log.test.ts
+++ b/packages/proxy/tests/state/relayed-log.test.ts
@@ -107,8 +107,8 @@
   }
 
   /** Lets a node act as if `member` announced itself as relay, with the offset that it has read. */
-  announce (member: Member, to: Member): void {
-    this.network.deliver('relay', [member.host, [0, member.applied], [0, member.applied], 0], to.host)
+  announce (member: Member, to: Member, offset = member.applied): void {
+    this.network.deliver('relay', [member.host, [0, offset], [0, offset], 0], to.host)
   }
 
   private expire (): void {
@@ -213,3 +213,17 @@
   assert.equal(refused.store.reads, before)
   for (const { log } of group.members) log.close()
 })
+
+// Guards against a node that asks without end for records that its relay announced and no longer has, as after a restart.
+test('relay that does not have what it announced is asked once', async () => {
+  const group = await startGroup()
+  const relay = relayOf(group)
+  const reader = group.members.find(member => member !== relay) ?? relay
+  const before = group.network.calls
+  const reads = reader.store.reads
+  group.announce(relay, reader, relay.applied + 1)
+  await group.advance(300)
+  assert.equal(group.network.calls - before, 1)
+  assert.ok(reader.store.reads - reads <= 2, `${reader.store.reads - reads} reads`)
+  for (const { log } of group.members) log.close()
+})
