--- a/packages/proxy/src/state/relayed-log.ts
+++ b/packages/proxy/src/state/relayed-log.ts
@@ -1,13 +1,13 @@
 /** The shared log as read through the relay of this node's group, or directly while there is none. Writes go to the log itself. */
 import * as Decisions from '@jasminedale/decisions'
 import * as neverthrow from 'neverthrow'
-import * as zod from 'zod'
 import type * as Directories from '../directory/directory.js'
 import type * as Logs from '../observation/log.js'
 import type * as Settings from '../settings.js'
 import type * as NodeChannels from '../transport/node-channel.js'
 import type * as NodeRpcs from '../transport/node-rpc.js'
 import * as RecordBuffers from './record-buffer.js'
+import * as RelayMessages from './relay-message.js'
 import * as RelaySelectors from './relay-selector.js'
 import * as SharedLogs from './shared-log.js'
 
@@ -28,17 +28,6 @@
 }
 const DIRECT_READ_TIMEOUT = Decisions.Clock.milliseconds(0)
 
-const epochSchema = zod.number().transform(SharedLogs.epoch)
-/** Epoch and offset. */
-const positionSchema = zod.tuple([epochSchema, zod.number()]).transform(([epoch, offset]) => ({ epoch, offset }))
-/** Address of the relay, its positions by topic, and the age in ms of its last contact with the log. */
-const announcementSchema = zod.tuple([zod.string(), positionSchema, positionSchema, zod.number().nonnegative()])
-const readParamsSchema = zod.object({ topic: zod.enum(['configuration', 'targets']), from: positionSchema })
-/** Records with their values in base64; no batch if the relay does not hold all records. */
-const readResultSchema = zod.object({
-  batch: zod.object({ records: zod.array(zod.object({ key: zod.string(), value: zod.string().optional() })), next: positionSchema }).optional()
-})
-
 export interface RelayedLogDependencies {
   /** The shared log itself. */
   readonly store: SharedLogs.SharedLog
@@ -167,31 +156,27 @@
   /** Reads from the relay, or from the log if the relay does not answer or no longer holds all records. */
   private async readRelay (relay: Decisions.Ids.Endpoint, topic: SharedLogs.Topic, position: SharedLogs.Position): SharedLogs.LogResult<SharedLogs.Batch> {
     const { clock, log, nodeRpc } = this.dependencies
-    const reply = await nodeRpc.call(relay, READ_METHOD, { topic, from: [position.epoch, position.offset] })
-    const result = reply.andThen(value => parseReadResult(value))
+    const reply = await nodeRpc.call(relay, READ_METHOD, RelayMessages.encodeRequest({ topic, from: position }))
+    const result = reply.andThen(RelayMessages.decodeResponse)
     if (result.isErr()) {
       this.selector.recordFailure(relay, clock.now())
       log.info('relay cannot be read; reading the shared log', { relay, topic, offset: position.offset, error: result.error.detail })
       return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
     }
-    const { batch: relayed } = result.value
-    if (relayed === undefined) return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
-    if (relayed.records.length === 0) {
+    const batch = result.value
+    if (batch === undefined) return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
+    if (batch.records.length === 0) {
       this.selector.recordFailure(relay, clock.now())
       log.info('relay does not have what it announced; reading the shared log', { relay, topic, offset: position.offset })
       return await this.readStore(topic, position, DIRECT_READ_TIMEOUT)
     }
-    const { records, next } = relayed
-    const batch = { next, records: records.map(({ key, value }) => value === undefined ? { key } : { key, value: Buffer.from(value, 'base64') }) }
     this.buffers[topic].append(batch)
     return neverthrow.ok(batch)
   }
 
-  private serveRecords (params: unknown): zod.input<typeof readResultSchema> {
-    const { topic, from } = readParamsSchema.parse(params)
-    const batch = this.buffers[topic].readFrom(from)
-    if (batch === undefined) return {}
-    return { batch: { next: [batch.next.epoch, batch.next.offset], records: batch.records.map(({ key, value }) => value === undefined ? { key } : { key, value: value.toString('base64') }) } }
+  private serveRecords (params: unknown): unknown {
+    const { topic, from } = RelayMessages.decodeRequest(params)
+    return RelayMessages.encodeResponse(this.buffers[topic].readFrom(from))
   }
 
   /** The topic `configuration` is read most often, so its answers show the contact with the log. */
@@ -268,17 +253,14 @@
     const contactAge = this.contactAge()
     const positions = this.positions()
     if (this.isClosed || contactAge > ANNOUNCED_CONTACT_AGE_MAXIMUM_MS || positions === undefined) return
-    const { configuration, targets } = positions
-    const params = [location.host, [configuration.epoch, configuration.offset], [targets.epoch, targets.offset], Math.ceil(contactAge)]
-    nodeChannel.notify(ANNOUNCEMENT_METHOD, params, this.currentGroup().filter(host => host !== location.host))
+    nodeChannel.notify(ANNOUNCEMENT_METHOD, RelayMessages.encodeAnnouncement({ host: location.host, positions, contactAge }), this.currentGroup().filter(host => host !== location.host))
   }
 
   private receiveAnnouncement (params: readonly unknown[]): boolean {
-    const read = announcementSchema.safeParse(params)
-    if (!read.success) return false
-    const [host, configuration, targets, contactAge] = read.data
-    const contactAt = Decisions.Clock.milliseconds(this.dependencies.clock.now() - contactAge)
-    const relay = { host: Decisions.Ids.endpoint(host), positions: { configuration, targets }, contactAt }
+    const announcement = RelayMessages.decodeAnnouncement(params)
+    if (announcement === undefined) return false
+    const { host, positions, contactAge } = announcement
+    const relay = { host, positions, contactAt: Decisions.Clock.milliseconds(this.dependencies.clock.now() - contactAge) }
     this.logEpoch(relay)
     this.selector.recordAnnouncement(relay)
     this.wakeReaders()
@@ -314,8 +296,3 @@
 function describe (positions: RelaySelectors.Positions | undefined): string | undefined {
   return positions === undefined ? undefined : `${positions.configuration.epoch}:${positions.configuration.offset}`
 }
-
-function parseReadResult (value: unknown): neverthrow.Result<zod.infer<typeof readResultSchema>, NodeRpcs.CallFailure> {
-  const result = readResultSchema.safeParse(value)
-  return result.success ? neverthrow.ok(result.data) : neverthrow.err({ kind: 'call-failed', detail: result.error.message })
-}
