fix(proxy): publish a registration of this host that only peers still knew

Cause: a target that leaves while the log does not answer its host is known as gone to the peers that have asked the host. If the host is started again before the log answers, nobody writes the departure; some nodes use the target, others do not. Ruled out: the restored log. The departure was never written in that schedule. Change: a node that learns from a peer something newer about a target of its own host publishes it. Conclusion: fixed where the host comes back. If its VM does not, the target counts as crashed at nodes that did not ask.

--- a/packages/proxy/src/state/registration-recovery.ts
+++ b/packages/proxy/src/state/registration-recovery.ts
@@ -56,6 +56,11 @@
     if (missing !== undefined && !isLost(missing, registration)) this.missing.delete(registration.target)
   }
 
+  /** Publishes a registration of this host that only a peer still knew: the log has lost it or never got it. */
+  recordFromPeer (registration: Registrations.Registration): void {
+    if (registration.host === this.dependencies.settings.location.host) this.republish(registration)
+  }
+
   stop (): void {
     clearTimeout(this.timer)
   }
--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -7,6 +7,7 @@
 import type * as Logs from '../observation/log.js'
 import type * as NodeRpcs from '../transport/node-rpc.js'
 import type * as ConfigurationStates from './configuration-state.js'
+import type * as RegistrationRecoveries from './registration-recovery.js'
 import * as RegistrationRecords from './registration-record.js'
 
 const METHOD = 'state'
@@ -17,6 +18,7 @@
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly directory: Directories.Directory
   readonly nodeRpc: Pick<NodeRpcs.NodeRpc, 'addMethod' | 'call'>
+  readonly registrationRecovery: Pick<RegistrationRecoveries.RegistrationRecovery, 'recordFromPeer'>
 }
 
 /** Incarnation, state and sequence number. */
@@ -99,12 +101,18 @@
     }
   }
 
+  private mergeRegistration (registration: Registrations.Registration): boolean {
+    const isNew = this.dependencies.directory.merge(registration)
+    if (isNew) this.dependencies.registrationRecovery.recordFromPeer(registration)
+    return isNew
+  }
+
   private mergeState (result: Result): boolean {
-    const { configuration, directory, log, clock } = this.dependencies
+    const { configuration, log, clock } = this.dependencies
     let changed = result.configuration !== undefined && configuration.replaceIfNewer(result.configuration, clock.now())
     for (const item of result.registrations) {
       const registration = RegistrationRecords.parse('peer', item)
-      if (registration.isOk()) changed = directory.merge(registration.value) || changed
+      if (registration.isOk()) changed = this.mergeRegistration(registration.value) || changed
       else log.warn('registration from a peer is invalid', { detail: registration.error.detail })
     }
     return changed
--- a/packages/proxy/tests/state/restored-schedule.test.ts
+++ b/packages/proxy/tests/state/restored-schedule.test.ts
@@ -18,9 +18,8 @@
 const APPLY_LIMIT_MS = 2_000
 /** Time after the last fault within which the log holds again whatever a running node knows. */
 const REPUBLICATION_LIMIT_MS = 6_000
-/** Schedules to run; more by hand. */
-const SCHEDULES = Number(process.env.SCHEDULES ?? '6')
-const FIRST_SEED = Number(process.env.FIRST_SEED ?? '1')
+/** Seeds 21, 73 and 86 never ended: a node asked its relay without end. Seed 184: only peers knew that a target had left. */
+const SEEDS = process.env.SEEDS === undefined ? [1, 2, 3, 21, 73, 86, 184] : seedsOf(process.env.SEEDS)
 
 /** Random faults of the log and of nodes, with configurations and registrations between them. */
 class Schedule {
@@ -131,8 +130,14 @@
   }
 }
 
+/** Seeds of a range `FIRST-LAST`, for runs by hand. */
+function seedsOf (range: string): readonly number[] {
+  const [first = 1, last = first] = range.split('-').map(Number)
+  return Array.from({ length: last - first + 1 }, (_, index) => first + index)
+}
+
 // Guards against any order of faults after which a node misses a version, returns to an older one, or a registration is lost.
-for (let seed = FIRST_SEED; seed < FIRST_SEED + SCHEDULES; seed += 1) {
+for (const seed of SEEDS) {
   test(`nodes agree after random faults of the log, seed ${seed}`, async () => {
     mock.timers.enable({ apis: ['setTimeout', 'setInterval'] })
     try {
--- a/packages/proxy/tests/state/state-transfer.test.ts
+++ b/packages/proxy/tests/state/state-transfer.test.ts
@@ -15,7 +15,8 @@
 
 function createTransfer (network: MemoryNetworks.MemoryNetwork, host: Decisions.Ids.Endpoint, directory: Directories.Directory): StateTransfers.StateTransfer {
   return new StateTransfers.StateTransfer({
-    clock: new Decisions.Clock.VirtualClock(), log: new Logs.SilentLog(), configuration: new ConfigurationStates.ConfigurationState(), directory, nodeRpc: network.rpcOf(host)
+    clock: new Decisions.Clock.VirtualClock(), log: new Logs.SilentLog(), configuration: new ConfigurationStates.ConfigurationState(), directory, nodeRpc: network.rpcOf(host),
+    registrationRecovery: { recordFromPeer: () => { /* Ignored. */ } }
   })
 }
 
--- a/packages/proxy/tests/support/data-center.ts
+++ b/packages/proxy/tests/support/data-center.ts
@@ -66,7 +66,7 @@
     const registrationRecovery = new RegistrationRecoveries.RegistrationRecovery({ settings, log, random, directory, registrar, sharedLog })
     const synchronizer = new Synchronizers.Synchronizer({
       settings, log, clock, random, sharedLog, configuration, directory, views, registrar, registrationRecovery, membership,
-      stateTransfer: new StateTransfers.StateTransfer({ clock, log, configuration, directory, nodeRpc }),
+      stateTransfer: new StateTransfers.StateTransfer({ clock, log, configuration, directory, nodeRpc, registrationRecovery }),
       readConfiguration: record => neverthrow.ok(Samples.configuration({ version: Decisions.Ids.version(Number(record.value)) }))
     })
     sharedLog.start()
