--- a/packages/proxy/tests/state/restored-schedule.test.ts
+++ b/packages/proxy/tests/state/restored-schedule.test.ts
@@ -66,14 +66,17 @@
   private async startEvent (): Promise<void> {
     const { store, hosts } = this.dataCenter
     const host = this.random.pick(hosts) ?? Decisions.Ids.endpoint('')
-    const choice = Math.floor(this.random.fraction() * 8)
-    if (choice <= 1) this.publish()
-    else if (choice === 2) store.isSilent = !store.isSilent
-    else if (choice === 3) await this.restore()
-    else if (choice === 4) for (const other of hosts) if (this.random.fraction() < 0.5) store.unreachable.add(other)
-    if (choice === 5) store.unreachable.clear()
-    if (choice === 6) this.restart(host)
-    if (choice === 7) this.register(host)
+    const events: readonly (() => void | Promise<void>)[] = [
+      () => { this.publish() },
+      () => { this.publish() },
+      () => { store.isSilent = !store.isSilent },
+      async () => { await this.restore() },
+      () => { for (const other of hosts) if (this.random.fraction() < 0.5) store.unreachable.add(other) },
+      () => { store.unreachable.clear() },
+      () => { this.restart(host) },
+      () => { this.register(host) }
+    ]
+    await this.random.pick(events)?.()
   }
 
   private publish (): void {
