--- a/packages/proxy/tests/state/restored-schedule.test.ts
+++ b/packages/proxy/tests/state/restored-schedule.test.ts
@@ -76,7 +76,7 @@
       () => { this.restart(host) },
       () => { this.register(host) }
     ]
-    await this.random.pick(events)?.()
+    await events[Math.floor(this.random.fraction() * events.length)]?.()
   }
 
   private publish (): void {
