feat(proxy): log by which evidence a host believes that a request has not run

Cause: not known yet. A refusal was logged without its status, the request it names and its place on the connection, and a lost exchange with another node without its reason. Ruled out: nothing. Change: target refusals and invalid responses are logged with status, names, position and isRepeated; an exchange with another node that ends without a response gets a line with mayHaveRun and detail. No decision changes.

--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -138,7 +138,7 @@
     })
     const startedAt = clock.now()
     let isWithdrawn = false
-    const outcome = exchange.result.then(result => isWithdrawn ? withdrawnOutcome(result) : this.outcomeOf(registration, result))
+    const outcome = exchange.result.then(result => isWithdrawn ? withdrawnOutcome(result) : this.outcomeOf(request, registration, result))
     return {
       target,
       outcome,
@@ -152,10 +152,11 @@
     }
   }
 
-  private outcomeOf (registration: Registrations.Registration, result: Exchanges.ExchangeResult): HostedRequests.Outcome {
+  private outcomeOf (request: Requests.EntryRequest, registration: Registrations.Registration, result: Exchanges.ExchangeResult): HostedRequests.Outcome {
     const { target, host } = registration
-    const { clock, views, onVersionSeen } = this.dependencies
+    const { clock, views, log, onVersionSeen } = this.dependencies
     const now = clock.now()
+    if (result.kind !== 'answered') log.info('host gave no response', { request: request.id, target, host, mayHaveRun: result.kind === 'lost', detail: result.reason })
     switch (result.kind) {
       case 'not-sent': return { kind: 'refused', reason: 'host-unreachable', retryAfter: views.recordUnreachable(target, now) }
       case 'lost':
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -168,7 +168,7 @@
     const elapsed = Decisions.Clock.between(startedAt, this.dependencies.clock.now())
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
     this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
-    this.recordOutcome(request, outcome, admission, elapsed)
+    this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(request, result))
     return outcome
   }
 
@@ -201,6 +201,7 @@
     const { dialect, targetAddress } = this.dependencies
     const fields = dialect.targetRequestFields({ target: request.target, callerService: request.callerService, remaining })
     return new Exchanges.Exchange({
+      request: request.id,
       address: targetAddress,
       method: request.method,
       path: request.path,
@@ -234,6 +235,13 @@
     return { kind: 'answered', response }
   }
 
+  /** What the log states about a response, so that a late copy can be told from the response to the request itself. */
+  private evidenceOf (request: HostedRequests.HostedRequest, result: Exchanges.ExchangeResult): Logs.Fields {
+    if (result.kind !== 'answered') return {}
+    const echo = this.dependencies.dialect.readTargetMetadata(result.response).request
+    return { status: result.response.status, names: echo === request.id ? 'own' : echo ?? 'none', position: result.use?.position, isRepeated: result.use?.isRepeated }
+  }
+
   /** Applies what the target states about itself in a response. */
   private applyStatements ({ id, target }: HostedRequests.HostedRequest, { rateLimit, isLeaving }: Dialects.TargetResponseMetadata): void {
     const { log, metrics, onTargetLeaving } = this.dependencies
@@ -261,7 +269,7 @@
     })
   }
 
-  private recordOutcome (request: HostedRequests.HostedRequest, outcome: HostedRequests.Outcome, admission: CircuitBreakers.Admission, elapsed: Decisions.Clock.Milliseconds): void {
+  private recordOutcome (request: HostedRequests.HostedRequest, outcome: HostedRequests.Outcome, admission: CircuitBreakers.Admission, elapsed: Decisions.Clock.Milliseconds, evidence: Logs.Fields): void {
     const { log, metrics, clock } = this.dependencies
     const now = clock.now()
     switch (outcome.kind) {
@@ -290,10 +298,10 @@
         // A deadline shorter than the latency objective says nothing about the target.
         if (outcome.reason === 'timed-out' && elapsed < request.latencyObjective) this.circuitBreaker.recordInconclusive(admission)
         else this.recordFailure(request, admission)
-        log.warn('target gave no valid response', { request: request.id, target: request.target, reason: outcome.reason, detail: outcome.detail, elapsed })
+        log.warn('target gave no valid response', { request: request.id, target: request.target, reason: outcome.reason, detail: outcome.detail, elapsed, ...evidence })
         break
       case 'refused':
-        this.recordRefusal(request, outcome.reason, admission)
+        this.recordRefusal(request, outcome.reason, admission, evidence)
         break
       case 'withdrawn':
         metrics.recordTargetRequest('withdrawn', elapsed)
@@ -325,11 +333,11 @@
     return hasFailedCall
   }
 
-  private recordRefusal (request: HostedRequests.HostedRequest, reason: HostedRequests.RefusalReason, admission: CircuitBreakers.Admission): void {
+  private recordRefusal (request: HostedRequests.HostedRequest, reason: HostedRequests.RefusalReason, admission: CircuitBreakers.Admission, evidence: Logs.Fields): void {
     if (reason === 'target-changed') this.dependencies.localTarget.clear(request.target)
     if (reason === 'target-unreachable') this.recordFailure(request, admission)
     else this.circuitBreaker.recordInconclusive(admission)
-    this.dependencies.log.info('target did not run the request', { request: request.id, target: request.target, reason })
+    this.dependencies.log.info('target did not run the request', { request: request.id, target: request.target, reason, ...evidence })
   }
 
   private reportRefusal (request: HostedRequests.HostedRequest, refusal: HostedRequests.Outcome): HostedRequests.Outcome {
--- a/packages/proxy/src/transport/connection-pool.ts
+++ b/packages/proxy/src/transport/connection-pool.ts
@@ -2,6 +2,7 @@
 import * as Http from 'node:http'
 import * as Net from 'node:net'
 import type * as Stream from 'node:stream'
+import * as ConnectionHistories from './connection-history.js'
 
 /** Idle connections kept for each address; a burst that needs more opens new ones. */
 const MAXIMUM_IDLE_CONNECTIONS = 32
@@ -14,6 +15,7 @@
 const MILLISECONDS_PER_SECOND = 1_000
 
 export class ConnectionPool extends Http.Agent {
+  readonly history = new ConnectionHistories.ConnectionHistory()
   private readonly idleLimits = new WeakMap<Stream.Duplex, number>()
 
   constructor () {
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -3,6 +3,7 @@
 import * as Decisions from '@jasminedale/decisions'
 import * as Bodies from './body.js'
 import type * as BufferBudgets from './buffer-budget.js'
+import type * as ConnectionHistories from './connection-history.js'
 import type * as ConnectionPools from './connection-pool.js'
 
 export interface Response {
@@ -15,13 +16,15 @@
 
 export type ExchangeResult =
   /** A complete response arrived. */
-  | { readonly kind: 'answered', readonly response: Response }
+  | { readonly kind: 'answered', readonly response: Response, readonly use: ConnectionHistories.ConnectionUse | undefined }
   /** The peer cannot have run the request: the connection was not opened, or the request was not confirmed. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The request was sent and no complete response arrived: whether it ran is unknown. */
   | { readonly kind: 'lost', readonly reason: string, readonly hasTimedOut: boolean }
 
 export interface ExchangeOptions {
+  /** Id of the request, by which the connection's history tells it from others. */
+  readonly request?: Decisions.Ids.RequestId
   readonly address: Decisions.Ids.Endpoint
   readonly method: string
   readonly path: string
@@ -66,6 +69,7 @@
   private hasConnectionError = false
   private hasTimedOut = false
   private informationalResponses = 0
+  private use: ConnectionHistories.ConnectionUse | undefined
   private readonly timers: NodeJS.Timeout[] = []
 
   constructor (private readonly options: ExchangeOptions) {
@@ -114,6 +118,7 @@
       return true
     })
     request.on('socket', socket => {
+      if (options.request !== undefined) this.use = options.connections.history.record(socket, options.request)
       const markConnectionError = (): void => { this.hasConnectionError = true }
       socket.once('error', markConnectionError)
       // A pooled connection outlives the request.
@@ -175,7 +180,7 @@
       this.fail(body.isErr() ? `response body is ${body.error.kind}` : 'connection failed during a response without a length')
       return
     }
-    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message) } })
+    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message) }, use: this.use })
   }
 
   private startTimer (duration: number, reason: string, mayFire: () => boolean = () => true): NodeJS.Timeout {
