fix(proxy): send a request again on a connection that has not carried it

Cause: a request that its target has refused may go to the same target again on the same connection. A late copy of the refusal comes first there, names this very request, and is taken for the response to the second send, which runs. Change: a pool knows the requests that its open connections have carried, and a request that one of them has carried gets a connection of its own.

--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -239,7 +239,7 @@
   private evidenceOf (request: HostedRequests.HostedRequest, result: Exchanges.ExchangeResult): Logs.Fields {
     if (result.kind !== 'answered') return {}
     const echo = this.dependencies.dialect.readTargetMetadata(result.response).request
-    return { status: result.response.status, names: echo === request.id ? 'own' : echo ?? 'none', position: result.use?.position, isRepeated: result.use?.isRepeated }
+    return { status: result.response.status, names: echo === request.id ? 'own' : echo ?? 'none', position: result.position }
   }
 
   /** Applies what the target states about itself in a response. */
--- a/packages/proxy/src/transport/connection-pool.ts
+++ b/packages/proxy/src/transport/connection-pool.ts
@@ -35,7 +35,7 @@
   override keepSocketAlive (socket: Stream.Duplex): boolean {
     super.keepSocketAlive(socket)
     const limit = this.idleLimits.get(socket) ?? DEFAULT_IDLE_TIMEOUT_MS
-    if (socket.readableLength > 0 || limit <= 0) return false
+    if (socket.readableLength > 0 || limit <= 0 || !this.history.hasRoom(socket)) return false
     setIdleTimeout(socket, limit)
     socket.on('data', destroySocket)
     socket.resume()
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -3,7 +3,6 @@
 import * as Decisions from '@jasminedale/decisions'
 import * as Bodies from './body.js'
 import type * as BufferBudgets from './buffer-budget.js'
-import type * as ConnectionHistories from './connection-history.js'
 import type * as ConnectionPools from './connection-pool.js'
 
 export interface Response {
@@ -15,15 +14,15 @@
 }
 
 export type ExchangeResult =
-  /** A complete response arrived. */
-  | { readonly kind: 'answered', readonly response: Response, readonly use: ConnectionHistories.ConnectionUse | undefined }
+  /** A complete response arrived. `position` is that of the request on its connection; undefined for a request without an id. */
+  | { readonly kind: 'answered', readonly response: Response, readonly position: number | undefined }
   /** The peer cannot have run the request: the connection was not opened, or the request was not confirmed. */
   | { readonly kind: 'not-sent', readonly reason: string }
   /** The request was sent and no complete response arrived: whether it ran is unknown. */
   | { readonly kind: 'lost', readonly reason: string, readonly hasTimedOut: boolean }
 
 export interface ExchangeOptions {
-  /** Id of the request, by which the connection's history tells it from others. */
+  /** No connection carries a request with this id twice, so that a late response to an earlier send is not taken for the response to this one. */
   readonly request?: Decisions.Ids.RequestId
   readonly address: Decisions.Ids.Endpoint
   readonly method: string
@@ -69,7 +68,7 @@
   private hasConnectionError = false
   private hasTimedOut = false
   private informationalResponses = 0
-  private use: ConnectionHistories.ConnectionUse | undefined
+  private position: number | undefined
   private readonly timers: NodeJS.Timeout[] = []
 
   constructor (private readonly options: ExchangeOptions) {
@@ -81,12 +80,17 @@
       method: options.method,
       path: options.path,
       headers: this.headers() as unknown as Http.OutgoingHttpHeaders,
-      agent: options.connections
+      agent: this.needsOwnConnection() ? false : options.connections
     })
     this.attachListeners()
     this.send()
   }
 
+  private needsOwnConnection (): boolean {
+    const { request, connections } = this.options
+    return request !== undefined && connections.history.hasCarried(request)
+  }
+
   /** Whether the peer has queued the request and not yet confirmed it. */
   get isQueued (): boolean {
     return this.queued
@@ -118,7 +122,7 @@
       return true
     })
     request.on('socket', socket => {
-      if (options.request !== undefined) this.use = options.connections.history.record(socket, options.request)
+      if (options.request !== undefined) this.position = options.connections.history.record(socket, options.request)
       const markConnectionError = (): void => { this.hasConnectionError = true }
       socket.once('error', markConnectionError)
       // A pooled connection outlives the request.
@@ -180,7 +184,7 @@
       this.fail(body.isErr() ? `response body is ${body.error.kind}` : 'connection failed during a response without a length')
       return
     }
-    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message) }, use: this.use })
+    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message) }, position: this.position })
   }
 
   private startTimer (duration: number, reason: string, mayFire: () => boolean = () => true): NodeJS.Timeout {
--- a/packages/proxy/tests/transport/exchange.test.ts
+++ b/packages/proxy/tests/transport/exchange.test.ts
@@ -3,6 +3,7 @@
 import * as Net from 'node:net'
 import { test } from 'node:test'
 import * as Decisions from '@jasminedale/decisions'
+import * as ConnectionHistories from '../../src/transport/connection-history.js'
 import * as ConnectionPools from '../../src/transport/connection-pool.js'
 import * as Exchanges from '../../src/transport/exchange.js'
 
@@ -150,3 +151,41 @@
   server.close()
   assert.deepEqual(result, { kind: 'lost', reason: 'peer sent too many informational responses', hasTimedOut: false })
 })
+
+// Guards against a late response to an earlier send that is taken for the response to a later send of the same request.
+test('connection does not carry the same request twice', async () => {
+  let connections = 0
+  const server = Http.createServer((_request, response) => { response.end('done') })
+  server.on('connection', () => { connections += 1 })
+  const address = await listen(server)
+  const pool = new ConnectionPools.ConnectionPool()
+  const send = async (request: string): Promise<number | undefined> => {
+    const result = await new Exchanges.Exchange(createOptions(address, { connections: pool, request: Decisions.Ids.requestId(request) })).result
+    await new Promise(resolve => setTimeout(resolve, 10))
+    return result.kind === 'answered' ? result.position : undefined
+  }
+  assert.deepEqual([await send('a'), await send('b'), await send('c')], [1, 2, 3])
+  assert.equal(connections, 1)
+  assert.deepEqual([await send('b'), await send('b'), await send('d')], [1, 1, 4])
+  assert.equal(connections, 3)
+  pool.destroy()
+  server.close()
+  server.closeAllConnections()
+})
+
+// Guards against the memory of a connection that is never idle for long.
+test('connection is closed after its last request', async () => {
+  let connections = 0
+  const server = Http.createServer((_request, response) => { response.end('done') })
+  server.on('connection', () => { connections += 1 })
+  const address = await listen(server)
+  const pool = new ConnectionPools.ConnectionPool()
+  for (let count = 0; count <= ConnectionHistories.MAXIMUM_REQUESTS; count += 1) {
+    await new Exchanges.Exchange(createOptions(address, { connections: pool, request: Decisions.Ids.requestId(`q-${count}`) })).result
+    await new Promise(resolve => setImmediate(resolve))
+  }
+  pool.destroy()
+  server.close()
+  server.closeAllConnections()
+  assert.equal(connections, 2)
+})
