fix(proxy): close a connection that delivered a response to another request

Callers saw: 502 for requests that ran well, one after another: the response to each came as the response to the next one on the connection. Cause: a response that names another request was discarded at the host, but its connection went back to the pool with the response to the current request still to come. Ruled out: the pool closes idle connections on which bytes arrive; it does not help when the next request is sent before the outstanding response arrives. Change: an exchange compares the id as soon as the head of a response arrives, and closes the connection if it belongs to another request. The result says so (cause mismatched), and exchange.test.ts expects cause and position where it expected hasTimedOut.

--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -168,7 +168,7 @@
     const elapsed = Decisions.Clock.between(startedAt, this.dependencies.clock.now())
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
     this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
-    this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(request, result))
+    this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(result))
     return outcome
   }
 
@@ -201,7 +201,7 @@
     const { dialect, targetAddress } = this.dependencies
     const fields = dialect.targetRequestFields({ target: request.target, callerService: request.callerService, remaining })
     return new Exchanges.Exchange({
-      request: request.id,
+      correlation: { request: request.id, readRequest: headers => dialect.readResponseRequest(headers) },
       address: targetAddress,
       method: request.method,
       path: request.path,
@@ -219,12 +219,9 @@
 
   private outcomeOf (request: HostedRequests.HostedRequest, result: Exchanges.ExchangeResult): HostedRequests.Outcome {
     if (result.kind === 'not-sent') return HostedRequests.refusal('target-unreachable', ABSENT_RETRY_AFTER_MS)
-    if (result.kind === 'lost') return { kind: 'failed', reason: result.hasTimedOut ? 'timed-out' : 'connection-lost', detail: result.reason }
+    if (result.kind === 'lost') return { kind: 'failed', reason: result.cause === 'mismatched' ? 'response-invalid' : result.cause, detail: result.reason }
     const { response } = result
     const metadata = this.dependencies.dialect.readTargetMetadata(response)
-    if (metadata.request !== undefined && metadata.request !== request.id) {
-      return { kind: 'failed', reason: 'response-invalid', detail: `response belongs to request ${metadata.request}` }
-    }
     // A response without the id may be a late copy, or not from the target.
     if (metadata.request === request.id) this.applyStatements(request, metadata)
     if (metadata.isMisdirected) return HostedRequests.refusal('target-changed', ABSENT_RETRY_AFTER_MS)
@@ -236,10 +233,11 @@
   }
 
   /** What the log states about a response, so that a late copy can be told from the response to the request itself. */
-  private evidenceOf (request: HostedRequests.HostedRequest, result: Exchanges.ExchangeResult): Logs.Fields {
-    if (result.kind !== 'answered') return {}
-    const echo = this.dependencies.dialect.readTargetMetadata(result.response).request
-    return { status: result.response.status, names: echo === request.id ? 'own' : echo ?? 'none', position: result.position }
+  private evidenceOf (result: Exchanges.ExchangeResult): Logs.Fields {
+    if (result.kind === 'lost') return { position: result.position }
+    if (result.kind === 'not-sent') return {}
+    const { status, headers } = result.response
+    return { status, names: this.dependencies.dialect.readResponseRequest(headers) === undefined ? 'none' : 'own', position: result.position }
   }
 
   /** Applies what the target states about itself in a response. */
--- a/packages/proxy/src/transport/dialect.ts
+++ b/packages/proxy/src/transport/dialect.ts
@@ -47,6 +47,8 @@
   abstract readCallerMetadata (headers: readonly string[]): CallerMetadata
   /** Fields to add to a request to a backend server, as a flat array of names and values. */
   abstract targetRequestFields (metadata: TargetRequestMetadata): string[]
+  /** The id of the request that a backend server's response names. */
+  abstract readResponseRequest (headers: readonly string[]): Decisions.Ids.RequestId | undefined
   abstract readTargetMetadata (response: Exchanges.Response): TargetResponseMetadata
   /** Fields of a refusal that state the time after which the caller may retry. */
   abstract retryFields (retryAfter: Decisions.Clock.Milliseconds): string[]
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -14,16 +14,27 @@
 }
 
 export type ExchangeResult =
-  /** A complete response arrived. `position` is that of the request on its connection; undefined for a request without an id. */
+  /** A complete response arrived. `position` is that of the request on its connection; undefined without a correlation. */
   | { readonly kind: 'answered', readonly response: Response, readonly position: number | undefined }
   /** The peer cannot have run the request: the connection was not opened, or the request was not confirmed. */
   | { readonly kind: 'not-sent', readonly reason: string }
-  /** The request was sent and no complete response arrived: whether it ran is unknown. */
-  | { readonly kind: 'lost', readonly reason: string, readonly hasTimedOut: boolean }
+  /** The request was sent and no complete response to it arrived: whether it ran is unknown. */
+  | { readonly kind: 'lost', readonly reason: string, readonly cause: LossCause, readonly position: number | undefined }
 
-export interface ExchangeOptions {
+/** `mismatched`: the response belongs to another request. */
+export type LossCause = 'timed-out' | 'connection-lost' | 'mismatched'
+
+/** By which a response is matched with its request. */
+export interface Correlation {
   /** No connection carries a request with this id twice, so that a late response to an earlier send is not taken for the response to this one. */
-  readonly request?: Decisions.Ids.RequestId
+  readonly request: Decisions.Ids.RequestId
+  /** The id of the request that a response with these header fields names. */
+  readonly readRequest: (headers: readonly string[]) => Decisions.Ids.RequestId | undefined
+}
+
+export interface ExchangeOptions {
+  /** Undefined if responses name no requests; then any response is taken for the response to this request. */
+  readonly correlation?: Correlation
   readonly address: Decisions.Ids.Endpoint
   readonly method: string
   readonly path: string
@@ -66,7 +77,7 @@
   private hasResponse = false
   /** Whether the connection failed, in which case a body without a length may be truncated. */
   private hasConnectionError = false
-  private hasTimedOut = false
+  private lossCause: LossCause = 'connection-lost'
   private informationalResponses = 0
   private position: number | undefined
   private readonly timers: NodeJS.Timeout[] = []
@@ -87,8 +98,8 @@
   }
 
   private needsOwnConnection (): boolean {
-    const { request, connections } = this.options
-    return request !== undefined && connections.history.hasCarried(request)
+    const { correlation, connections } = this.options
+    return correlation !== undefined && connections.history.hasCarried(correlation.request)
   }
 
   /** Whether the peer has queued the request and not yet confirmed it. */
@@ -118,11 +129,11 @@
   private attachListeners (): void {
     const { request, options } = this
     this.startTimer(options.timeout, 'no response before the deadline', () => {
-      this.hasTimedOut = true
+      this.lossCause = 'timed-out'
       return true
     })
     request.on('socket', socket => {
-      if (options.request !== undefined) this.position = options.connections.history.record(socket, options.request)
+      if (options.correlation !== undefined) this.position = options.connections.history.record(socket, options.correlation.request)
       const markConnectionError = (): void => { this.hasConnectionError = true }
       socket.once('error', markConnectionError)
       // A pooled connection outlives the request.
@@ -176,6 +187,13 @@
 
   private async receive (message: Http.IncomingMessage): Promise<void> {
     this.hasResponse = true
+    const mismatch = this.describeMismatch(message)
+    if (mismatch !== undefined) {
+      // This closes the connection: the response to this request is still to come, and must not reach the next one.
+      this.lossCause = 'mismatched'
+      this.fail(mismatch)
+      return
+    }
     // A response without confirmation is a refusal. Ending the request with an empty body keeps the connection usable.
     if (this.options.awaitsConfirmation && !this.isCommitted) this.request.end()
     this.options.connections.setIdleLimit(message.socket, message.headers['keep-alive'])
@@ -187,6 +205,13 @@
     this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message) }, position: this.position })
   }
 
+  /** Why the response does not belong to this request; undefined if it does. */
+  private describeMismatch ({ rawHeaders }: Http.IncomingMessage): string | undefined {
+    const { correlation } = this.options
+    const named = correlation?.readRequest(rawHeaders)
+    return named === undefined || named === correlation?.request ? undefined : `response belongs to request ${named}`
+  }
+
   private startTimer (duration: number, reason: string, mayFire: () => boolean = () => true): NodeJS.Timeout {
     const timer = setTimeout(() => { if (mayFire()) this.fail(reason) }, Math.max(0, duration))
     this.timers.push(timer)
@@ -196,7 +221,7 @@
   private fail (reason: string): void {
     if (this.isFinished) return
     const mayHaveRun = this.isConnected && this.isCommitted
-    this.finish(mayHaveRun ? { kind: 'lost', reason, hasTimedOut: this.hasTimedOut } : { kind: 'not-sent', reason })
+    this.finish(mayHaveRun ? { kind: 'lost', reason, cause: this.lossCause, position: this.position } : { kind: 'not-sent', reason })
     this.request.destroy()
   }
 
--- a/packages/proxy/tests/support/stub-dialect.ts
+++ b/packages/proxy/tests/support/stub-dialect.ts
@@ -15,6 +15,10 @@
     return []
   }
 
+  readResponseRequest (): undefined {
+    return undefined
+  }
+
   readTargetMetadata (): Dialects.TargetResponseMetadata {
     return { isNotExecuted: false, isMisdirected: false, isSigned: true, isAltered: false, ...this.statements }
   }
--- a/packages/proxy/tests/transport/exchange.test.ts
+++ b/packages/proxy/tests/transport/exchange.test.ts
@@ -22,6 +22,10 @@
   }
 }
 
+function correlation (request: string): Exchanges.Correlation {
+  return { request: Decisions.Ids.requestId(request), readRequest: () => undefined }
+}
+
 /** A TCP server that calls `answer` for each chunk received, with the number of chunks so far. */
 function rawServer (answer: (socket: Net.Socket, count: number) => void): Net.Server {
   let count = 0
@@ -149,7 +153,7 @@
   const server = rawServer(socket => { socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(100)) })
   const result = await new Exchanges.Exchange(createOptions(await listen(server))).result
   server.close()
-  assert.deepEqual(result, { kind: 'lost', reason: 'peer sent too many informational responses', hasTimedOut: false })
+  assert.deepEqual(result, { kind: 'lost', reason: 'peer sent too many informational responses', cause: 'connection-lost', position: undefined })
 })
 
 // Guards against a late response to an earlier send that is taken for the response to a later send of the same request.
@@ -160,7 +164,7 @@
   const address = await listen(server)
   const pool = new ConnectionPools.ConnectionPool()
   const send = async (request: string): Promise<number | undefined> => {
-    const result = await new Exchanges.Exchange(createOptions(address, { connections: pool, request: Decisions.Ids.requestId(request) })).result
+    const result = await new Exchanges.Exchange(createOptions(address, { connections: pool, correlation: correlation(request) })).result
     await new Promise(resolve => setTimeout(resolve, 10))
     return result.kind === 'answered' ? result.position : undefined
   }
@@ -181,7 +185,7 @@
   const address = await listen(server)
   const pool = new ConnectionPools.ConnectionPool()
   for (let count = 0; count <= ConnectionHistories.MAXIMUM_REQUESTS; count += 1) {
-    await new Exchanges.Exchange(createOptions(address, { connections: pool, request: Decisions.Ids.requestId(`q-${count}`) })).result
+    await new Exchanges.Exchange(createOptions(address, { connections: pool, correlation: correlation(`q-${count}`) })).result
     await new Promise(resolve => setImmediate(resolve))
   }
   pool.destroy()
