fix(proxy): accept a response without a request id only as the first of its connection

Callers saw: 503 with the promise "not run" for requests that ran, and non-idempotent requests that ran twice, in a test: a late copy of a refusal comes without its id. Cause: a host believed a refusal (Jasminedale-Not-Executed, or 421) without an id, whichever request of the connection it followed. The same held for errors without an id, which reached the caller of the next request. Change: on a connection that has carried other requests a response must name its request; otherwise the exchange is lost, whether it ran is unknown, and the connection is closed. The first response of a connection cannot be late, so there a missing id is accepted.

--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -28,7 +28,7 @@
 export interface Correlation {
   /** No connection carries a request with this id twice, so that a late response to an earlier send is not taken for the response to this one. */
   readonly request: Decisions.Ids.RequestId
-  /** The id of the request that a response with these header fields names. */
+  /** The id of the request that a response with these header fields names. A response without one is accepted only if it is the first of its connection. */
   readonly readRequest: (headers: readonly string[]) => Decisions.Ids.RequestId | undefined
 }
 
@@ -208,8 +208,11 @@
   /** Why the response does not belong to this request; undefined if it does. */
   private describeMismatch ({ rawHeaders }: Http.IncomingMessage): string | undefined {
     const { correlation } = this.options
-    const named = correlation?.readRequest(rawHeaders)
-    return named === undefined || named === correlation?.request ? undefined : `response belongs to request ${named}`
+    if (correlation === undefined) return undefined
+    const named = correlation.readRequest(rawHeaders)
+    if (named === correlation.request) return undefined
+    if (named !== undefined) return `response belongs to request ${named}`
+    return this.position === 1 ? undefined : 'response names no request and may belong to an earlier one'
   }
 
   private startTimer (duration: number, reason: string, mayFire: () => boolean = () => true): NodeJS.Timeout {
--- a/packages/proxy/tests/transport/exchange.test.ts
+++ b/packages/proxy/tests/transport/exchange.test.ts
@@ -23,7 +23,7 @@
 }
 
 function correlation (request: string): Exchanges.Correlation {
-  return { request: Decisions.Ids.requestId(request), readRequest: () => undefined }
+  return { request: Decisions.Ids.requestId(request), readRequest: () => Decisions.Ids.requestId(request) }
 }
 
 /** A TCP server that calls `answer` for each chunk received, with the number of chunks so far. */
