fix(proxy): do not pass on a target's 408, 429 or 503 for a request that may have run

Callers saw: 503, 429 or 408 for a non-idempotent request that ran, in a test. To a caller these statuses promise that the request has not run and never will. A target's own 503 or 429 without the statement was passed on like any other error. Change: for a request that must not be repeated the host reports such a response as invalid, and the caller gets 502 without the target's signature. Repeatable requests get the response unchanged, as before. Whether targets of the users do this is not known.

--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -18,6 +18,8 @@
 
 const SERVER_ERROR = 500
 const STATUS_TIMEOUT = 504
+/** To the caller of a non-idempotent request these statuses promise that it has not run. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** The local target is on the same VM, so that a connection normally opens at once. */
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Bounds the memory that one response takes. */
@@ -229,6 +231,9 @@
     if (response.status < SERVER_ERROR && (!metadata.isSigned || metadata.isAltered)) {
       return { kind: 'failed', reason: 'response-invalid', detail: metadata.isAltered ? 'content encoding was added' : 'response is not signed' }
     }
+    if (!request.repeatable && NOT_RUN_STATUSES.has(response.status)) {
+      return { kind: 'failed', reason: 'response-invalid', detail: `status ${response.status} without the statement that the request did not run` }
+    }
     return { kind: 'answered', response }
   }
 
