fix(proxy): answer requests in flight before bytes that are no request are rejected

Callers saw: 400 as the answer to a request that ran, in a test; 408 if the bytes are the beginning of a head that does not arrive in time, and 408 promises that it has not run. The HTTP library writes its rejection at once, although a request before the malformed bytes is still in flight; the rejection then comes first on the connection. Ruled out: callers of the users' sites send no such bytes, so the record is not explained. Change: the gateway handles malformed bytes. Requests that were read whole are answered first, and the last answer closes the connection; without any, the rejection goes out as before. The requests of a connection are counted in a class of their own. The path of the late head (408) shares the code and was not run.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -1,5 +1,5 @@
 /** HTTP handler for requests of callers: matches the route, dispatches the request and writes the answer. */
-import type * as Http from 'node:http'
+import * as Http from 'node:http'
 import type * as Net from 'node:net'
 import * as Decisions from '@jasminedale/decisions'
 import * as Forwarding from '../host/forwarding.js'
@@ -15,6 +15,7 @@
 import type * as Dialects from '../transport/dialect.js'
 import * as Headers from '../transport/headers.js'
 import type * as Answers from './answer.js'
+import * as CallerConnections from './caller-connection.js'
 import * as Dispatches from './dispatch.js'
 import type * as Requests from './request.js'
 
@@ -24,6 +25,8 @@
 const STARTING_RETRY_AFTER_MS = 500
 const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
+/** Status by the code of the HTTP library's error. */
+const MALFORMED_STATUSES: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
 const STATUS_TOO_LARGE = 413
 const SERVER_ERROR = 500
 const STATUS_BAD_GATEWAY = 502
@@ -61,8 +64,7 @@
   private readonly reservedFields: ReadonlySet<string>
   private isDraining = false
   private openRequests = 0
-  /** Number of unanswered requests on each connection; more than one if the caller pipelines. */
-  private readonly unansweredBySocket = new WeakMap<Net.Socket, number>()
+  private readonly connections = new CallerConnections.CallerConnections()
 
   constructor (private readonly dependencies: GatewayDependencies) {
     this.reservedFields = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
@@ -82,8 +84,13 @@
     const { dialect, clock } = this.dependencies
     const callerMetadata = dialect.readCallerMetadata(request.rawHeaders)
     const inbound = { request, response, arrivedAt: clock.now(), id: callerMetadata.request ?? Decisions.Ids.requestId('') }
-    this.countOpen(request.socket, 1)
-    response.once('close', () => { this.countOpen(request.socket, -1) })
+    this.openRequests += 1
+    const connection = this.connections.of(request.socket)
+    connection.addRequest(request)
+    response.once('close', () => {
+      this.openRequests -= 1
+      connection.removeRequest()
+    })
     const path = request.url ?? ''
     const route = this.routeOf(request, path)
     if ('status' in route) {
@@ -130,6 +137,25 @@
     })
   }
 
+  /**
+   * Handles bytes of a caller that are no request, or a head that did not arrive in time. Requests in flight on the
+   * connection are answered first: a rejection would reach the caller as the answer to the first of them.
+   */
+  rejectMalformed (error: NodeJS.ErrnoException, socket: Net.Socket): void {
+    // The HTTP library also reports that the caller has reset the connection.
+    if (!socket.writable) {
+      socket.destroy()
+      return
+    }
+    const connection = this.connections.of(socket)
+    if (!connection.markBroken()) return
+    const status = MALFORMED_STATUSES[error.code ?? ''] ?? STATUS_BAD_REQUEST
+    this.dependencies.log.info('bytes of a caller are no request', { code: error.code, status, answerable: connection.answerable })
+    if (connection.answerable > 0) return
+    socket.write(`HTTP/1.1 ${status} ${Http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`)
+    socket.destroy()
+  }
+
   private routeOf (request: Http.IncomingMessage, path: string): Routes.Route | Rejection {
     const { configuration } = this.dependencies
     const table = configuration.table
@@ -142,11 +168,6 @@
     return { status: STATUS_NOT_FOUND, reason: 'route-unknown' }
   }
 
-  private countOpen (socket: Net.Socket, change: number): void {
-    this.openRequests += change
-    this.unansweredBySocket.set(socket, (this.unansweredBySocket.get(socket) ?? 0) + change)
-  }
-
   private async dispatch (inbound: InboundRequest, entry: Requests.EntryRequest): Promise<void> {
     const dispatch = new Dispatches.Dispatch(entry, this.dependencies)
     inbound.response.once('close', () => { if (!inbound.response.writableFinished) dispatch.abandon() })
@@ -201,8 +222,8 @@
     if (!isFramed) response.useChunkedEncodingByDefault = false
     else if (!BODYLESS_STATUSES.has(status)) fields.push('Content-Length', String(body.length))
     // Closing the connection would lose pipelined requests behind this one.
-    const isLastOnConnection = (this.unansweredBySocket.get(request.socket) ?? 0) <= 1
-    if (!request.complete || (this.isDraining && isLastOnConnection)) fields.push('Connection', 'close')
+    const connection = this.connections.of(request.socket)
+    if (!request.complete || connection.mustClose || (this.isDraining && connection.hasOneAnswerLeft)) fields.push('Connection', 'close')
     response.sendDate = false
     response.writeHead(status, fields)
     response.end(request.method === 'HEAD' ? undefined : body)
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -1,5 +1,6 @@
 /** HTTP servers of a node: one for the callers on its VM, one for other nodes. */
 import * as Http from 'node:http'
+import * as Net from 'node:net'
 import type * as Decisions from '@jasminedale/decisions'
 import type * as Gateways from './entry/gateway.js'
 import type * as HostServers from './host/host-server.js'
@@ -66,6 +67,7 @@
     server.on('request', (request, response) => {
       gateway.handle(request, response).catch((error: unknown) => { abortResponse(log, response, error) })
     })
+    server.on('clientError', (error, socket) => { if (socket instanceof Net.Socket) gateway.rejectMalformed(error, socket) })
     return server
   }
 
