fix(proxy): keep the connection when a request without a body is rejected

Cause: the rejection is written while the head is being parsed. The end of the request has not been read then, so that it looks as if its body were still to come, which closes the connection. Ruled out: bodies that are still to come; the connection has to close then, and nothing behind them can have been read. Change: the rejection is written after the current bytes have been parsed.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -95,6 +95,8 @@
     const route = this.routeOf(request, path)
     if ('status' in route) {
       request.resume()
+      // The end of a request without a body is read after its head, and only then may the connection be kept.
+      await Promise.resolve()
       this.reject(inbound, route)
       return
     }
