fix(proxy): ignore a late deregistration of a process that has a successor

Cause: a deregistration that names an earlier process of a target was taken for one of its current process, because the registration of its id was then published as gone. A late call also replaced the record that a later process had left. Ruled out: calls that name no process; they concern whichever is registered, as before. Change: a deregistration of an earlier process is acknowledged and changes nothing, and the record of departures only rises. The log line has both incarnations. Figures: two new cases of membership.test.ts failed (ready, then gone; ready again) and pass.

--- a/packages/proxy/src/host/local-target.ts
+++ b/packages/proxy/src/host/local-target.ts
@@ -63,7 +63,8 @@
    */
   recordDeparture (target: Decisions.Ids.TargetId, incarnation?: Decisions.Ids.Incarnation): boolean {
     const isCurrent = this.current?.target === target && (incarnation === undefined || this.current.incarnation === incarnation)
-    this.departed.set(target, incarnation ?? (isCurrent ? this.current?.incarnation : undefined))
+    const departed = incarnation ?? (isCurrent ? this.current?.incarnation : undefined)
+    if (departed === undefined || !this.hasDeparted(target, departed)) this.departed.set(target, departed)
     if (isCurrent && this.current !== undefined) this.current = { ...this.current, state: 'gone' }
     return isCurrent
   }
--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -93,8 +93,12 @@
       return true
     }
     const known = directory.get(target)
-    log.info('deregistration of a target that is not the current one', { target, current: localTarget.announcement?.target, registered: known?.state })
+    log.info('deregistration of a target that is not the current one', {
+      target, incarnation, current: localTarget.announcement?.target, registered: known?.state, registeredIncarnation: known?.incarnation
+    })
     if (known === undefined) return false
+    // A call that arrives late may come from the former process of a target that was restarted under its id.
+    if (incarnation !== undefined && incarnation < known.incarnation) return true
     if (known.state !== 'gone') await this.register({ ...known, state: 'gone' })
     return true
   }
--- a/packages/proxy/tests/membership.test.ts
+++ b/packages/proxy/tests/membership.test.ts
@@ -109,3 +109,23 @@
   completeWrite()
   await acknowledgement
 })
+
+// Guards against a late deregistration of a former process that registers its successor under the same id as gone.
+test('late deregistration of a former process does not concern its successor', async () => {
+  const { membership, localTarget, published } = startNode()
+  const announcement: LocalTargets.Announcement = { target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(200), sequence: 1 }
+  await membership.applyAnnouncement(announcement)
+  assert.equal(await membership.deregister(TARGET, Decisions.Ids.incarnation(100)), true)
+  await membership.applyAnnouncement({ ...announcement, sequence: 2 })
+  assert.equal(localTarget.isReady, true)
+  assert.deepEqual(published.map(({ state }) => state), ['ready'])
+})
+
+// Guards against a late deregistration that lets announcements of a later process that has also left count again.
+test('late deregistration does not bring back a later process', async () => {
+  const { membership, localTarget } = startNode()
+  await membership.deregister(TARGET, Decisions.Ids.incarnation(200))
+  await membership.deregister(TARGET, Decisions.Ids.incarnation(100))
+  await membership.applyAnnouncement({ target: TARGET, service: Samples.SERVICE, slots: 4, state: 'ready', incarnation: Decisions.Ids.incarnation(200), sequence: 9 })
+  assert.equal(localTarget.isReady, false)
+})
