fix(proxy): refuse at a stopping node what may outlast it

Cause: a stopping node takes requests until callers have left, but ends 0.4 s before the limit whatever their deadline is. Ruled out: taking no requests at all after some time; most end in time, and their callers have no other node. Change: from 2.8 s after the stop began, a request whose deadline is later than the end of the node is refused as not run. Earlier ones are taken, as callers accept that up to 3 s.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -23,6 +23,8 @@
 const DEADLINE_DEFAULT = Decisions.Clock.seconds(10)
 /** Time after which callers may retry when this node has no current configuration, or the route no destination. */
 const STARTING_RETRY_AFTER_MS = 500
+/** Time after the deadline within which the last answers are sent. */
+const ANSWER_MARGIN_MS = 100
 const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
 /** Status by the code of the HTTP library's error. */
@@ -60,9 +62,16 @@
   readonly retryAfter?: number
 }
 
+/** Phases of a planned stop. */
+export interface Drain {
+  /** From then on requests are refused that may last until the node ends. */
+  readonly refusesLongRequestsAt: Decisions.Clock.Milliseconds
+  readonly endsAt: Decisions.Clock.Milliseconds
+}
+
 export class Gateway {
   private readonly reservedFields: ReadonlySet<string>
-  private isDraining = false
+  private drain: Drain | undefined
   private openRequests = 0
   private readonly connections = new CallerConnections.CallerConnections()
 
@@ -76,8 +85,8 @@
   }
 
   /** Closes connections with their next response from now on, so that callers connect to another node. */
-  startDraining (): void {
-    this.isDraining = true
+  startDraining (drain: Drain): void {
+    this.drain = drain
   }
 
   async handle (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
@@ -114,6 +123,11 @@
   private async admit (inbound: InboundRequest, route: Routes.Route, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
     const { request, arrivedAt, id } = inbound
     const [method, path] = [request.method ?? 'GET', request.url ?? '']
+    const deadline = Decisions.Clock.add(arrivedAt, Decisions.Clock.milliseconds(Math.min(callerTimeout, route.timeout)))
+    if (this.mayOutlast(deadline)) {
+      this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'node-leaving', retryAfter: STARTING_RETRY_AFTER_MS })
+      return
+    }
     const blockedFor = this.dependencies.quarantine.blockedFor({ method, path, body })
     if (blockedFor !== undefined) {
       this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'request-blocked', retryAfter: blockedFor })
@@ -125,7 +139,6 @@
       return
     }
     if (route.destinations.length > 1) this.dependencies.metrics.recordSplit(route.name, service)
-    const remaining = Math.min(callerTimeout, route.timeout)
     await this.dispatch(inbound, {
       id,
       method,
@@ -135,10 +148,16 @@
       route,
       service,
       arrivedAt,
-      deadline: Decisions.Clock.add(arrivedAt, Decisions.Clock.milliseconds(remaining))
+      deadline
     })
   }
 
+  /** Whether this node may end before a request with that deadline has been answered. Earlier requests get the chance to end in time. */
+  private mayOutlast (deadline: Decisions.Clock.Milliseconds): boolean {
+    const { drain } = this
+    return drain !== undefined && this.dependencies.clock.now() >= drain.refusesLongRequestsAt && deadline + ANSWER_MARGIN_MS > drain.endsAt
+  }
+
   /**
    * Handles bytes of a caller that are no request, or a head that did not arrive in time. Requests in flight on the
    * connection are answered first: a rejection would reach the caller as the answer to the first of them.
@@ -225,7 +244,7 @@
     else if (!BODYLESS_STATUSES.has(status)) fields.push('Content-Length', String(body.length))
     // Closing the connection would lose pipelined requests behind this one.
     const connection = this.connections.of(request.socket)
-    if (!request.complete || connection.mustClose || (this.isDraining && connection.hasOneAnswerLeft)) fields.push('Connection', 'close')
+    if (!request.complete || connection.mustClose || (this.drain !== undefined && connection.hasOneAnswerLeft)) fields.push('Connection', 'close')
     response.sendDate = false
     response.writeHead(status, fields)
     response.end(request.method === 'HEAD' ? undefined : body)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -94,6 +94,8 @@
 const CALLER_DRAIN_DELAY = Decisions.Clock.milliseconds(3_300)
 /** Time until a stopping node accepts no more requests for its target, so that those already running end within the shutdown timeout. */
 const HOST_DRAIN_DELAY = Decisions.Clock.milliseconds(2_400)
+/** Time for which a stopping node still takes requests that may not end before it; callers accept that up to 3 s after its stop began. */
+const LONG_REQUEST_PERIOD = Decisions.Clock.milliseconds(2_800)
 const SHUTDOWN_POLL_INTERVAL_MS = 50
 /** Time before the end of the shutdown timeout at which the node closes even with requests in flight. */
 const SHUTDOWN_MARGIN = Decisions.Clock.milliseconds(400)
@@ -160,8 +162,8 @@
     this.isStopping = true
     const startedAt = clock.now()
     log.info('planned stop begins', { inFlight: gateway.inFlight, hosted: hostServer.inFlight })
-    gateway.startDraining()
-    const shutdownDeadline = startedAt + settingsState.current.shutdownTimeout - SHUTDOWN_MARGIN
+    const shutdownDeadline = Decisions.Clock.milliseconds(startedAt + settingsState.current.shutdownTimeout - SHUTDOWN_MARGIN)
+    gateway.startDraining({ refusesLongRequestsAt: Decisions.Clock.add(startedAt, LONG_REQUEST_PERIOD), endsAt: shutdownDeadline })
     const inFlight = (): number => gateway.inFlight + hostServer.inFlight + host.running
     // Other nodes may use the local target's capacity until its host stops accepting requests.
     await Delays.delay(HOST_DRAIN_DELAY)
