fix(proxy): withdraw all requests of a connection when its caller leaves

Cause: the HTTP library emits close only for the response that has the connection. Those that wait behind it get none, so that their attempts were not withdrawn and the count of open requests stayed too high. Ruled out: the withdrawal itself, which works for the first request of a connection. Change: the gateway listens to the connection, once, and tells each of its requests.

--- a/packages/proxy/src/entry/caller-connection.ts
+++ b/packages/proxy/src/entry/caller-connection.ts
@@ -6,6 +6,20 @@
   private unanswered = 0
   private latest: Http.IncomingMessage | undefined
   private isBroken = false
+  private readonly closeListeners = new Set<() => void>()
+
+  constructor (socket: Net.Socket) {
+    socket.once('close', () => { for (const listener of [...this.closeListeners]) listener() })
+  }
+
+  /**
+   * Calls `listener` when the connection closes, unless the returned function has been called. The HTTP library tells
+   * that only the first of several responses that wait on the connection.
+   */
+  whenClosed (listener: () => void): () => void {
+    this.closeListeners.add(listener)
+    return () => { this.closeListeners.delete(listener) }
+  }
 
   addRequest (request: Http.IncomingMessage): void {
     this.unanswered += 1
@@ -46,7 +60,7 @@
   of (socket: Net.Socket): CallerConnection {
     const existing = this.bySocket.get(socket)
     if (existing !== undefined) return existing
-    const created = new CallerConnection()
+    const created = new CallerConnection(socket)
     this.bySocket.set(socket, created)
     return created
   }
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -93,13 +93,7 @@
     const { dialect, clock } = this.dependencies
     const callerMetadata = dialect.readCallerMetadata(request.rawHeaders)
     const inbound = { request, response, arrivedAt: clock.now(), id: callerMetadata.request ?? Decisions.Ids.requestId('') }
-    this.openRequests += 1
-    const connection = this.connections.of(request.socket)
-    connection.addRequest(request)
-    response.once('close', () => {
-      this.openRequests -= 1
-      connection.removeRequest()
-    })
+    this.countUntilEnd(request, response)
     const path = request.url ?? ''
     const route = this.routeOf(request, path)
     if ('status' in route) {
@@ -119,6 +113,23 @@
     await this.admit(inbound, route, body.value, callerMetadata.remaining ?? DEADLINE_DEFAULT)
   }
 
+  /** Counts the request as open until its response has been written or its connection is closed. */
+  private countUntilEnd (request: Http.IncomingMessage, response: Http.ServerResponse): void {
+    const connection = this.connections.of(request.socket)
+    const state = { isOpen: true }
+    const end = (): void => {
+      if (!state.isOpen) return
+      state.isOpen = false
+      this.openRequests -= 1
+      connection.removeRequest()
+      ignoreClose()
+    }
+    const ignoreClose = connection.whenClosed(end)
+    response.once('close', end)
+    this.openRequests += 1
+    connection.addRequest(request)
+  }
+
   /** Dispatches a request that was read completely. `callerTimeout` is the time for which the caller waits. */
   private async admit (inbound: InboundRequest, route: Routes.Route, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
     const { request, arrivedAt, id } = inbound
@@ -191,8 +202,9 @@
 
   private async dispatch (inbound: InboundRequest, entry: Requests.EntryRequest): Promise<void> {
     const dispatch = new Dispatches.Dispatch(entry, this.dependencies)
-    inbound.response.once('close', () => { if (!inbound.response.writableFinished) dispatch.abandon() })
+    const ignoreClose = this.connections.of(inbound.request.socket).whenClosed(() => { dispatch.abandon() })
     const answer = await dispatch.answer
+    ignoreClose()
     // Callers include the backend server on this VM. If a call of its own fails, it may respond with an error that is not its fault.
     if (entry.service !== this.dependencies.settings.service && !isServed(answer)) this.dependencies.host.recordFailedCall()
     const elapsed = Math.round(this.dependencies.clock.now() - entry.arrivedAt)
