fix(proxy): reject announcements for another service than that of the VM

Cause: nothing compared the announced service with the service of the VM, so that an announcement with a later start replaced the target. Ruled out: announcements with missing fields, which were rejected before.

--- a/packages/proxy/src/membership.ts
+++ b/packages/proxy/src/membership.ts
@@ -1,5 +1,6 @@
 /** Registers the backend server on this VM in the shared log, as its announcements and its deregistration ask for. */
 import type * as Decisions from '@jasminedale/decisions'
+import * as neverthrow from 'neverthrow'
 import type * as Directories from './directory/directory.js'
 import type * as Registrations from './directory/registration.js'
 import type * as HostViews from './entry/host-views.js'
@@ -19,6 +20,9 @@
   readonly views: HostViews.HostViews
 }
 
+/** The announcement does not come from the backend server of this VM. */
+export interface AnnouncementRejection { readonly kind: 'service-mismatch', readonly detail: string }
+
 export class Membership {
   private readonly dependencies: MembershipDependencies
   /** Resolves when the shared log shows the target as leaving that stated so in a response; its announcement of that changes nothing more. */
@@ -28,8 +32,20 @@
     this.dependencies = dependencies
   }
 
-  /** Applies an announcement of the backend server. Resolves when the resulting change, if any, is in the shared log. */
-  async applyAnnouncement (announcement: LocalTargets.Announcement): Promise<void> {
+  /**
+   * Applies an announcement of the backend server. Resolves when the resulting change, if any, is in the shared log.
+   * An announcement for another service than that of this VM comes from another writer and changes nothing.
+   */
+  async applyAnnouncement (announcement: LocalTargets.Announcement): Promise<neverthrow.Result<void, AnnouncementRejection>> {
+    const { service } = this.dependencies.settings
+    if (announcement.service !== service) {
+      return neverthrow.err({ kind: 'service-mismatch', detail: `service ${announcement.service} instead of ${service}` })
+    }
+    await this.applyOwnAnnouncement(announcement)
+    return neverthrow.ok()
+  }
+
+  private async applyOwnAnnouncement (announcement: LocalTargets.Announcement): Promise<void> {
     const { localTarget, log, host, directory, views } = this.dependencies
     const previous = localTarget.announcement
     const known = directory.get(announcement.target)
