fix(proxy): read a rejected request to its end before its response decides about the connection

Cause: the rejection is written when the head has been read. The rest of the body is still to come, so the response closes the connection; when the rest arrives, the requests behind it are parsed and passed on all the same. deferred the rejection by one turn of the event loop, which covers bodies that came with the head only. Ruled out: the order of removal from the route table; a request behind an unread body. Change: one class owns the order and the end of a caller's connection (CallerConnection, without I/O). A response closes it only if no request behind it can be answered, which is decided when its turn has come, and nothing that arrives later is handled. Rejected requests are read to their end first, up to 256 KiB and 1 s; beyond that the response closes the connection, and nothing behind it has been read. This holds for 404, 400, 413 and each 503 of the node. Conclusion: fixed for all rejections of the node.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -15,8 +15,10 @@
 import type * as Dialects from '../transport/dialect.js'
 import * as Headers from '../transport/headers.js'
 import type * as Answers from './answer.js'
-import * as CallerConnections from './caller-connection.js'
+import type * as CallerConnections from './caller-connection.js'
+import * as Registries from './caller-connection-registry.js'
 import * as Dispatches from './dispatch.js'
+import * as InboundRequests from './inbound-request.js'
 import type * as Requests from './request.js'
 
 /** Deadline of requests for which the caller gave none. */
@@ -34,8 +36,9 @@
 const STATUS_BAD_GATEWAY = 502
 const STATUS_UNAVAILABLE = 503
 const STATUS_GATEWAY_TIMEOUT = 504
-/** Statuses whose responses must not have a body or a length. */
-const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+/** A rejected request is read to its end, so that its connection can be kept, if that takes no more than this. */
+const REJECTED_BODY_LIMIT_BYTES = 262_144
+const REJECTED_BODY_TIMEOUT = Decisions.Clock.seconds(1)
 
 export interface GatewayDependencies extends Dispatches.DispatchDependencies {
   readonly dialect: Dialects.Dialect
@@ -48,13 +51,6 @@
   readonly settings: Pick<Settings.ProxySettings, 'service'>
 }
 
-interface InboundRequest {
-  readonly request: Http.IncomingMessage
-  readonly response: Http.ServerResponse
-  readonly arrivedAt: Decisions.Clock.Milliseconds
-  readonly id: Decisions.Ids.RequestId
-}
-
 /** Answer to a request that is not dispatched. */
 interface Rejection {
   readonly status: number
@@ -73,7 +69,7 @@
   private readonly reservedFields: ReadonlySet<string>
   private drain: Drain | undefined
   private openRequests = 0
-  private readonly connections = new CallerConnections.CallerConnections()
+  private readonly connections = new Registries.CallerConnectionRegistry(() => this.drain !== undefined)
 
   constructor (private readonly dependencies: GatewayDependencies) {
     this.reservedFields = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
@@ -89,64 +85,69 @@
     this.drain = drain
   }
 
+  /** Handles a request whose head has been read. */
   async handle (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
-    const { dialect, clock } = this.dependencies
+    const { dialect, clock, log } = this.dependencies
     const callerMetadata = dialect.readCallerMetadata(request.rawHeaders)
-    const inbound = { request, response, arrivedAt: clock.now(), id: callerMetadata.request ?? Decisions.Ids.requestId('') }
-    this.countUntilEnd(request, response)
-    const path = request.url ?? ''
-    const route = this.routeOf(request, path)
-    if ('status' in route) {
-      request.resume()
-      // The end of a request without a body is read after its head, and only then may the connection be kept.
-      await Promise.resolve()
-      this.reject(inbound, route)
-      return
-    }
-    const limit = this.dependencies.configuration.current?.limits.bodyBytes ?? 0
-    const body = await Bodies.read(request, limit)
-    if (body.isErr()) {
-      if (body.error.kind === 'too-large') this.reject(inbound, { status: STATUS_TOO_LARGE, reason: 'body-too-large' })
-      else this.dependencies.log.info('caller left before its request was complete', { request: inbound.id, route: route.name })
+    const id = callerMetadata.request ?? Decisions.Ids.requestId('')
+    const route = this.routeOf(request, request.url ?? '')
+    const connection = this.connections.of(request.socket)
+    const inbound = new InboundRequests.InboundRequest({
+      request, response, id, arrivedAt: clock.now(), holdsBack: false,
+      onClosing: reason => { log.info('response closes the connection of its caller', { request: id, reason, answerable: connection.answerable }) }
+    })
+    if (!connection.add(inbound)) {
+      log.info('request was not read, since an earlier response closes its connection', { request: id })
       return
     }
-    await this.admit(inbound, route, body.value, callerMetadata.remaining ?? DEADLINE_DEFAULT)
+    this.countUntilEnd(inbound, connection)
+    if ('status' in route) await this.reject(inbound, route)
+    else await this.receive(inbound, route, callerMetadata.remaining ?? DEADLINE_DEFAULT)
   }
 
   /** Counts the request as open until its response has been written or its connection is closed. */
-  private countUntilEnd (request: Http.IncomingMessage, response: Http.ServerResponse): void {
-    const connection = this.connections.of(request.socket)
+  private countUntilEnd (inbound: InboundRequests.InboundRequest, connection: CallerConnections.CallerConnection): void {
     const state = { isOpen: true }
     const end = (): void => {
       if (!state.isOpen) return
       state.isOpen = false
       this.openRequests -= 1
-      connection.removeRequest()
+      connection.remove(inbound)
       ignoreClose()
     }
     const ignoreClose = connection.whenClosed(end)
-    response.once('close', end)
+    inbound.response.once('close', end)
     this.openRequests += 1
-    connection.addRequest(request)
+  }
+
+  /** Reads the body of a request, and admits it. `callerTimeout` is the time for which the caller waits. */
+  private async receive (inbound: InboundRequests.InboundRequest, route: Routes.Route, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+    const limit = this.dependencies.configuration.current?.limits.bodyBytes ?? 0
+    const body = await Bodies.read(inbound.request, limit)
+    if (body.isErr()) {
+      if (body.error.kind === 'too-large') await this.reject(inbound, { status: STATUS_TOO_LARGE, reason: 'body-too-large' })
+      else this.dependencies.log.info('caller left before its request was complete', { request: inbound.id, route: route.name })
+      return
+    }
+    const connection = this.connections.of(inbound.request.socket)
+    if (connection.isHeldBack(inbound)) this.dependencies.log.info('request waits for the response to a non-idempotent one', { request: inbound.id, route: route.name })
+    if (await connection.mayPassOn(inbound)) await this.admit(inbound, route, body.value, callerTimeout)
+    else this.dependencies.log.info('request was not passed on, since an earlier response closes its connection', { request: inbound.id, route: route.name })
   }
 
   /** Dispatches a request that was read completely. `callerTimeout` is the time for which the caller waits. */
-  private async admit (inbound: InboundRequest, route: Routes.Route, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+  private async admit (inbound: InboundRequests.InboundRequest, route: Routes.Route, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
     const { request, arrivedAt, id } = inbound
     const [method, path] = [request.method ?? 'GET', request.url ?? '']
     const deadline = Decisions.Clock.add(arrivedAt, Decisions.Clock.milliseconds(Math.min(callerTimeout, route.timeout)))
-    if (this.mayOutlast(deadline)) {
-      this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'node-leaving', retryAfter: STARTING_RETRY_AFTER_MS })
-      return
-    }
-    const blockedFor = this.dependencies.quarantine.blockedFor({ method, path, body })
-    if (blockedFor !== undefined) {
-      this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'request-blocked', retryAfter: blockedFor })
+    const refusal = this.refusalOf({ method, path, body }, deadline)
+    if (refusal !== undefined) {
+      await this.reject(inbound, refusal)
       return
     }
     const service = this.dependencies.destinationChooser.choose(route)
     if (service === undefined) {
-      this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'no-target', retryAfter: STARTING_RETRY_AFTER_MS })
+      await this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'no-target', retryAfter: STARTING_RETRY_AFTER_MS })
       return
     }
     if (route.destinations.length > 1) this.dependencies.metrics.recordSplit(route.name, service)
@@ -163,6 +164,15 @@
     })
   }
 
+  /** Why a request that can be routed is not dispatched all the same. */
+  private refusalOf (content: Pick<Requests.EntryRequest, 'method' | 'path' | 'body'>, deadline: Decisions.Clock.Milliseconds): Rejection | undefined {
+    const { quarantine, clock } = this.dependencies
+    if (this.mayOutlast(deadline)) return { status: STATUS_UNAVAILABLE, reason: 'node-leaving', retryAfter: STARTING_RETRY_AFTER_MS }
+    if (clock.now() >= deadline) return { status: STATUS_UNAVAILABLE, reason: 'too-late', retryAfter: STARTING_RETRY_AFTER_MS }
+    const blockedFor = quarantine.blockedFor(content)
+    return blockedFor === undefined ? undefined : { status: STATUS_UNAVAILABLE, reason: 'request-blocked', retryAfter: blockedFor }
+  }
+
   /** Whether this node may end before a request with that deadline has been answered. Earlier requests get the chance to end in time. */
   private mayOutlast (deadline: Decisions.Clock.Milliseconds): boolean {
     const { drain } = this
@@ -173,19 +183,17 @@
    * Handles bytes of a caller that are no request, or a head that did not arrive in time. Requests in flight on the
    * connection are answered first: a rejection would reach the caller as the answer to the first of them.
    */
-  rejectMalformed (error: NodeJS.ErrnoException, socket: Net.Socket): void {
-    // The HTTP library also reports that the caller has reset the connection.
-    if (!socket.writable) {
-      socket.destroy()
-      return
-    }
+  rejectMalformed (code: string | undefined, socket: Net.Socket): void {
+    // The HTTP library also reports that the caller has reset the connection, and bytes that follow the last request of a connection.
+    if (!socket.writable) return
     const connection = this.connections.of(socket)
-    if (!connection.markBroken()) return
-    const status = MALFORMED_STATUSES[error.code ?? ''] ?? STATUS_BAD_REQUEST
-    this.dependencies.log.info('bytes of a caller are no request', { code: error.code, status, answerable: connection.answerable })
-    if (connection.answerable > 0) return
+    const { answerable } = connection
+    const mayReject = connection.breakOff()
+    const status = MALFORMED_STATUSES[code ?? ''] ?? STATUS_BAD_REQUEST
+    this.dependencies.log.info('bytes of a caller are no request', { code, status, answerable })
+    if (!mayReject) return
     socket.write(`HTTP/1.1 ${status} ${Http.STATUS_CODES[status] ?? ''}\r\nConnection: close\r\n\r\n`)
-    socket.destroy()
+    socket.destroySoon()
   }
 
   private routeOf (request: Http.IncomingMessage, path: string): Routes.Route | Rejection {
@@ -200,7 +208,7 @@
     return { status: STATUS_NOT_FOUND, reason: 'route-unknown' }
   }
 
-  private async dispatch (inbound: InboundRequest, entry: Requests.EntryRequest): Promise<void> {
+  private async dispatch (inbound: InboundRequests.InboundRequest, entry: Requests.EntryRequest): Promise<void> {
     const dispatch = new Dispatches.Dispatch(entry, this.dependencies)
     const ignoreClose = this.connections.of(inbound.request.socket).whenClosed(() => { dispatch.abandon() })
     const answer = await dispatch.answer
@@ -219,47 +227,43 @@
     this.answer(inbound, answer)
   }
 
-  private answer (inbound: InboundRequest, answer: Answers.Answer): void {
+  private answer (inbound: InboundRequests.InboundRequest, answer: Answers.Answer): void {
     const { dialect } = this.dependencies
     switch (answer.kind) {
-      case 'response':
-        this.write(inbound, answer.response.status, Headers.endToEndFields(answer.response.headers, Forwarding.INTERNAL_HEADERS), answer.response.body, answer.response.isFramed)
+      case 'response': {
+        const { status, headers, body, isFramed } = answer.response
+        this.send(inbound, { status, fields: Headers.endToEndFields(headers, Forwarding.INTERNAL_HEADERS), body, isFramed })
         break
+      }
       case 'not-run':
-        this.write(inbound, STATUS_UNAVAILABLE, [
-          ...dialect.answerFields(inbound.id), ...dialect.retryFields(Decisions.Clock.milliseconds(answer.retryAfter))
-        ], Bodies.EMPTY)
+        this.sendStatus(inbound, STATUS_UNAVAILABLE, dialect.retryFields(Decisions.Clock.milliseconds(answer.retryAfter)))
         break
       case 'unknown':
-        this.write(inbound, answer.reason === 'timed-out' ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY, dialect.answerFields(inbound.id), Bodies.EMPTY)
+        this.sendStatus(inbound, answer.reason === 'timed-out' ? STATUS_GATEWAY_TIMEOUT : STATUS_BAD_GATEWAY)
         break
       case 'abandoned':
         break
     }
   }
 
-  private reject (inbound: InboundRequest, rejection: Rejection): void {
+  /** Answers a request that is not dispatched. */
+  private async reject (inbound: InboundRequests.InboundRequest, rejection: Rejection): Promise<void> {
     const { dialect, log, configuration, clock } = this.dependencies
+    await Bodies.discard(inbound.request, REJECTED_BODY_LIMIT_BYTES, REJECTED_BODY_TIMEOUT)
     log.info('request rejected', {
-      request: inbound.id, status: rejection.status, reason: rejection.reason, host: inbound.request.headers.host, path: inbound.request.url,
+      request: inbound.id, status: rejection.status, reason: rejection.reason, host: inbound.request.headers.host, path: inbound.request.url, isRead: inbound.isComplete,
       version: configuration.current?.version, versionAge: Math.round(configuration.contactAge(clock.now()))
     })
     const retry = rejection.retryAfter === undefined ? [] : dialect.retryFields(Decisions.Clock.milliseconds(rejection.retryAfter))
-    this.write(inbound, rejection.status, [...dialect.answerFields(inbound.id), ...retry], Bodies.EMPTY)
+    this.sendStatus(inbound, rejection.status, retry)
   }
 
-  private write ({ request, response }: InboundRequest, status: number, headers: readonly string[], body: Buffer, isFramed = true): void {
-    if (response.destroyed) return
-    const fields = [...headers]
-    // The target sent no length, so the body may be truncated. It is sent without a length too, so that it does not look complete.
-    if (!isFramed) response.useChunkedEncodingByDefault = false
-    else if (!BODYLESS_STATUSES.has(status)) fields.push('Content-Length', String(body.length))
-    // Closing the connection would lose pipelined requests behind this one.
-    const connection = this.connections.of(request.socket)
-    if (!request.complete || connection.mustClose || (this.drain !== undefined && connection.hasOneAnswerLeft)) fields.push('Connection', 'close')
-    response.sendDate = false
-    response.writeHead(status, fields)
-    response.end(request.method === 'HEAD' ? undefined : body)
+  private sendStatus (inbound: InboundRequests.InboundRequest, status: number, fields: readonly string[] = []): void {
+    this.send(inbound, { status, fields: [...this.dependencies.dialect.answerFields(inbound.id), ...fields], body: Bodies.EMPTY, isFramed: true })
+  }
+
+  private send (inbound: InboundRequests.InboundRequest, reply: CallerConnections.Reply): void {
+    this.connections.of(inbound.request.socket).answer(inbound, reply)
   }
 }
 
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -67,7 +67,7 @@
     server.on('request', (request, response) => {
       gateway.handle(request, response).catch((error: unknown) => { abortResponse(log, response, error) })
     })
-    server.on('clientError', (error, socket) => { if (socket instanceof Net.Socket) gateway.rejectMalformed(error, socket) })
+    server.on('clientError', (error: NodeJS.ErrnoException, socket) => { if (socket instanceof Net.Socket) gateway.rejectMalformed(error.code, socket) })
     return server
   }
 
--- a/packages/proxy/src/transport/body.ts
+++ b/packages/proxy/src/transport/body.ts
@@ -1,5 +1,6 @@
 /** Reads HTTP message bodies into memory. */
 import type * as Http from 'node:http'
+import type * as Decisions from '@jasminedale/decisions'
 import * as neverthrow from 'neverthrow'
 import * as BufferBudgets from './buffer-budget.js'
 
@@ -31,4 +32,30 @@
   return neverthrow.ok(chunks.length === 1 ? chunks[0] ?? EMPTY : Buffer.concat(chunks))
 }
 
+/**
+ * Reads the rest of a body without keeping it. Resolves at its end, when the connection closes, or when the limit or the
+ * timeout is reached; then no more is read.
+ */
+export async function discard (message: Http.IncomingMessage, limit: number, timeout: Decisions.Clock.Milliseconds): Promise<void> {
+  if (message.readableEnded || message.destroyed) return
+  await new Promise<void>(resolve => {
+    let length = 0
+    const finish = (): void => {
+      clearTimeout(timer)
+      message.off('data', count)
+      message.pause()
+      resolve()
+    }
+    const count = (chunk: Buffer): void => {
+      length += chunk.length
+      if (length > limit) finish()
+    }
+    const timer = setTimeout(finish, timeout)
+    message.on('data', count)
+    message.once('end', finish)
+    message.once('close', finish)
+    message.resume()
+  })
+}
+
 export const EMPTY: Buffer = Buffer.alloc(0)
