fix(proxy): end a connection after malformed bytes whichever response is ready first

Callers saw: a connection that stays open without anyone reading it, until the idle timeout (16 s), if the response to the second of two requests was ready before the first and malformed bytes follow. Requests sent there get no answer. Cause: only the last response to be written closed such a connection, and that one had been written before the bytes arrived. Ruled out: an answer lost; both arrive. Change: when the last response has been sent, the owner of the connection ends it.

--- a/packages/proxy/src/entry/caller-connection-registry.ts
+++ b/packages/proxy/src/entry/caller-connection-registry.ts
@@ -10,7 +10,7 @@
   of (socket: Net.Socket): CallerConnections.CallerConnection {
     const existing = this.bySocket.get(socket)
     if (existing !== undefined) return existing
-    const created = new CallerConnections.CallerConnection({ isDraining: this.isDraining })
+    const created = new CallerConnections.CallerConnection({ isDraining: this.isDraining, end: () => { socket.destroySoon() } })
     this.bySocket.set(socket, created)
     socket.once('close', () => { created.close() })
     return created
--- a/packages/proxy/src/entry/caller-connection.ts
+++ b/packages/proxy/src/entry/caller-connection.ts
@@ -36,6 +36,8 @@
 export interface CallerConnectionOptions {
   /** Whether connections are to be closed when no request waits on them. */
   readonly isDraining: () => boolean
+  /** Closes the connection when everything has been sent. */
+  readonly end: () => void
 }
 
 /**
@@ -100,6 +102,11 @@
   remove (request: PipelinedRequest): void {
     const index = this.requests.indexOf(request)
     if (index >= 0) this.requests.splice(index, 1)
+    // The last response may have been sent before the bytes that are no request arrived.
+    if (this.isBroken && !this.isSealed && this.answerable === 0) {
+      this.finish()
+      this.options.end()
+    }
   }
 
   /** Records that bytes arrived that are no request. Returns whether they can be rejected now, since no response is due before. */
--- a/packages/proxy/tests/entry/caller-connection.test.ts
+++ b/packages/proxy/tests/entry/caller-connection.test.ts
@@ -31,7 +31,7 @@
   isDraining = false
   isBroken = false
   isClosed = false
-  readonly connection = new CallerConnections.CallerConnection({ isDraining: () => this.isDraining })
+  readonly connection = new CallerConnections.CallerConnection({ isDraining: () => this.isDraining, end: () => { this.end('all sent') } })
 
   add (holdsBack = false, isComplete = true): Request | undefined {
     const request = new Request(this, holdsBack)
@@ -119,7 +119,7 @@
   }
 }
 
-// Guards against a response that closes a connection over requests that run, is sent out of order, or looks complete without a length.
+// Guards against a response that closes a connection over requests that run, is sent out of order, or looks complete without a length; and against a connection that nobody reads any more and that stays open.
 test('each request that was passed on is answered before its connection ends', () => {
   const event = FastCheck.tuple(FastCheck.constantFrom(...EVENTS), FastCheck.nat(5))
   FastCheck.assert(FastCheck.property(FastCheck.array(event, { maxLength: 30, size: 'max' }), events => {
@@ -130,6 +130,7 @@
     }
     settle(wire)
     assert.deepEqual(wire.requests.filter(request => request.isPassedOn && !wire.written.includes(request)), [], 'request was passed on and has no response')
+    assert.ok(wire.isClosed || !wire.isBroken, 'connection with malformed bytes stays open')
   }), { seed: SEED, numRuns: RUNS })
 })
 
