fix(proxy): answer the requests in front of one that is too large

Callers saw: a connection that breaks without the answers to requests that run, and without the 413, when a request behind them exceeds the limit of the body (LOST). Cause: leaving the loop that reads a body destroys the message, and with it the connection. Ruled out: the rejection itself, which was never sent. Conclusion: fixed.

--- a/packages/proxy/src/transport/body.ts
+++ b/packages/proxy/src/transport/body.ts
@@ -10,14 +10,14 @@
   | { readonly kind: 'incomplete' }
 
 /**
- * Reads a body of up to `limit` bytes. The rest of a larger body is not read.
+ * Reads a body of up to `limit` bytes. The rest of a larger body is not read, and the connection stays open.
  * @param budget Bounds the unfinished bodies of several messages together.
  */
 export async function read (message: Http.IncomingMessage, limit: number, budget = new BufferBudgets.BufferBudget(limit)): Promise<neverthrow.Result<Buffer, BodyFailure>> {
   const chunks: Buffer[] = []
   let length = 0
   try {
-    for await (const chunk of message as AsyncIterable<Buffer>) {
+    for await (const chunk of message.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       if (length + chunk.length > limit || !budget.tryAcquire(chunk.length, length)) return neverthrow.err({ kind: 'too-large', limit })
       length += chunk.length
       chunks.push(chunk)
