fix(proxy): reject a request without Host without closing its connection

Cause: the HTTP library rejects a request without the field Host by itself, with Connection: close, and goes on to parse and to pass on what is behind it. Ruled out: the gateway, which never saw the request. Change: the library's check is off, and the gateway rejects the request like other malformed ones.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -200,7 +200,7 @@
     const { configuration } = this.dependencies
     const table = configuration.table
     if (table === undefined) return { status: STATUS_UNAVAILABLE, reason: 'node-starting', retryAfter: STARTING_RETRY_AFTER_MS }
-    if (!path.startsWith('/')) return { status: STATUS_BAD_REQUEST, reason: 'request-malformed' }
+    if (request.headers.host === undefined || !path.startsWith('/')) return { status: STATUS_BAD_REQUEST, reason: 'request-malformed' }
     const route = table.match(request.headers.host ?? '', path)
     if (route !== undefined) return route
     // A node with an outdated configuration cannot tell that the route does not exist.
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -63,7 +63,11 @@
 
   private createCallerServer (): Http.Server {
     const { gateway, log } = this.dependencies
-    const server = Http.createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, requestTimeout: 0 })
+    const server = Http.createServer({
+      maxHeaderSize: MAXIMUM_HEADER_BYTES, keepAliveTimeout: DEFAULT_IDLE_TIMEOUT_MS + IDLE_MARGIN_MS, headersTimeout: DEFAULT_HEADER_TIMEOUT_MS, requestTimeout: 0,
+      // The library's own rejection closes the connection, whatever runs behind it.
+      requireHostHeader: false
+    })
     server.on('request', (request, response) => {
       gateway.handle(request, response).catch((error: unknown) => { abortResponse(log, response, error) })
     })
