fix(proxy): answer the requests in front of one for a tunnel

Cause: the HTTP library destroys the connection at CONNECT if nothing handles it. Ruled out: Upgrade, which is served as an ordinary request. Change: CONNECT is handled like bytes that are no request: the requests in front of it are answered, the last answer closes the connection; alone it gets 501.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -29,8 +29,10 @@
 const ANSWER_MARGIN_MS = 100
 const STATUS_BAD_REQUEST = 400
 const STATUS_NOT_FOUND = 404
+/** Code for a request to open a tunnel (CONNECT), behind which no request can be read. */
+export const TUNNEL_REQUESTED = 'tunnel-requested'
 /** Status by the code of the HTTP library's error. */
-const MALFORMED_STATUSES: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408 }
+const MALFORMED_STATUSES: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408, [TUNNEL_REQUESTED]: 501 }
 const STATUS_TOO_LARGE = 413
 const SERVER_ERROR = 500
 const STATUS_BAD_GATEWAY = 502
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -2,7 +2,7 @@
 import * as Http from 'node:http'
 import * as Net from 'node:net'
 import type * as Decisions from '@jasminedale/decisions'
-import type * as Gateways from './entry/gateway.js'
+import * as Gateways from './entry/gateway.js'
 import type * as HostServers from './host/host-server.js'
 import type * as Logs from './observation/log.js'
 import type * as Settings from './settings.js'
@@ -72,6 +72,7 @@
       gateway.handle(request, response).catch((error: unknown) => { abortResponse(log, response, error) })
     })
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => { if (socket instanceof Net.Socket) gateway.rejectMalformed(error.code, socket) })
+    server.on('connect', (_request, socket) => { if (socket instanceof Net.Socket) gateway.rejectMalformed(Gateways.TUNNEL_REQUESTED, socket) })
     return server
   }
 
