fix(proxy): do not close a connection with a response without a length over requests that run

Cause: pipelined requests are passed on side by side. A response without a length can only be delivered by closing the connection, and that was decided when the requests behind it ran. Ruled out: giving the response a length. Passing on one request at a time: no caller that pipelines would keep its latency. Change: a response without a length claims the end of the connection, which is granted while nothing behind it was passed on; from then on nothing is. Otherwise the request is tried on another target, as the route and the retry budget allow, and fails with 502 if that is not possible. Requests behind a non-idempotent one wait for its response, so that this is always delivered. Responses to HEAD, 204 and 304 have no body and need no length. A caller that pipelines may get 502 for a safe request whose response had no length, when no other target takes it.

--- a/packages/proxy/src/entry/answer.ts
+++ b/packages/proxy/src/entry/answer.ts
@@ -6,7 +6,10 @@
   | { readonly kind: 'response', readonly response: Exchanges.Response }
   /** The request has certainly not run and will not run. `retryAfter` in ms. */
   | { readonly kind: 'not-run', readonly reason: HostedRequests.RefusalReason, readonly retryAfter: number }
-  /** It is unknown whether the request ran. */
-  | { readonly kind: 'unknown', readonly reason: HostedRequests.FailureReason }
+  /**
+   * It is unknown whether the request ran. `response-unframed`: the response has no length, and would end the connection
+   * over requests behind it.
+   */
+  | { readonly kind: 'unknown', readonly reason: HostedRequests.FailureReason | 'response-unframed' }
   /** The caller disconnected before the answer. */
   | { readonly kind: 'abandoned' }
--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -5,6 +5,7 @@
 import type * as HostedRequests from '../host/hosted-request.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as Exchanges from '../transport/exchange.js'
 import type * as Answers from './answer.js'
 import * as HostViews from './host-views.js'
 import type * as TargetSelectors from './target-selector.js'
@@ -55,6 +56,8 @@
 /** Used when it is unknown when a target will be available. */
 const RETRY_AFTER_DEFAULT_MS = 300
 
+const UNFRAMED: Answers.Answer = { kind: 'unknown', reason: 'response-unframed' }
+
 export class Dispatch {
   readonly answer: Promise<Answers.Answer>
   readonly attemptRecords: AttemptRecord[] = []
@@ -207,7 +210,7 @@
     this.dependencies.metrics.recordAttempt(this.request.service, outcome.kind === 'answered' ? String(outcome.response.status) : record.result)
     if (outcome.kind !== 'refused') this.executionTargets.add(attempt.target)
     switch (outcome.kind) {
-      case 'answered': this.handleResponse({ kind: 'response', response: outcome.response }, outcome.response.status); break
+      case 'answered': this.handleResponse(outcome.response); break
       case 'refused': this.handleRefusal(attempt, outcome.reason, outcome.retryAfter); break
       case 'failed': this.handleFailure({ kind: 'unknown', reason: outcome.reason }); break
       case 'withdrawn': this.handleFailure({ kind: 'unknown', reason: 'timed-out' }); break
@@ -220,9 +223,14 @@
     return `${name}@${elapsed}`
   }
 
-  private handleResponse (answer: Answers.Answer, status: number): void {
-    if (status < SERVER_ERROR) this.finish(answer)
-    else this.handleFailure(answer)
+  private handleResponse (response: Exchanges.Response): void {
+    if (response.status >= SERVER_ERROR) this.handleFailure({ kind: 'response', response })
+    else if (this.isDeliverable(response)) this.finish({ kind: 'response', response })
+    else this.handleFailure(UNFRAMED)
+  }
+
+  private isDeliverable (response: Exchanges.Response): boolean {
+    return response.isFramed || this.request.tryEndConnection()
   }
 
   private handleFailure (answer: Answers.Answer): void {
@@ -292,7 +300,7 @@
       record.result = this.describeOutcome({ kind: 'withdrawn' }, record)
       attempt.withdraw()
     }
-    this.resolve(answer)
+    this.resolve(answer.kind === 'response' && !this.isDeliverable(answer.response) ? UNFRAMED : answer)
   }
 
   private schedule (duration: number, action: () => void): void {
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -95,7 +95,7 @@
     const route = this.routeOf(request, request.url ?? '')
     const connection = this.connections.of(request.socket)
     const inbound = new InboundRequests.InboundRequest({
-      request, response, id, arrivedAt: clock.now(), holdsBack: false,
+      request, response, id, arrivedAt: clock.now(), holdsBack: !('status' in route) && !route.repeatable,
       onClosing: reason => { log.info('response closes the connection of its caller', { request: id, reason, answerable: connection.answerable }) }
     })
     if (!connection.add(inbound)) {
@@ -153,6 +153,7 @@
       return
     }
     if (route.destinations.length > 1) this.dependencies.metrics.recordSplit(route.name, service)
+    const connection = this.connections.of(request.socket)
     await this.dispatch(inbound, {
       id,
       method,
@@ -162,7 +163,8 @@
       route,
       service,
       arrivedAt,
-      deadline
+      deadline,
+      tryEndConnection: () => connection.tryEndWith(inbound)
     })
   }
 
--- a/packages/proxy/src/entry/request.ts
+++ b/packages/proxy/src/entry/request.ts
@@ -14,4 +14,9 @@
   readonly arrivedAt: Decisions.Clock.Milliseconds
   /** The caller's deadline or the route's timeout, whichever is earlier. */
   readonly deadline: Decisions.Clock.Milliseconds
+  /**
+   * Called for a response without a length, which ends the connection of the caller. Returns whether it may: not while
+   * requests behind this one run.
+   */
+  readonly tryEndConnection: () => boolean
 }
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -198,11 +198,11 @@
     if (this.options.awaitsConfirmation && !this.isCommitted) this.request.end()
     this.options.connections.setIdleLimit(message.socket, message.headers['keep-alive'])
     const body = await Bodies.read(message, this.options.maximumResponseBytes, this.options.responseBudget)
-    if (body.isErr() || (this.hasConnectionError && isUnframed(message))) {
+    if (body.isErr() || (this.hasConnectionError && isUnframed(message, this.options.method))) {
       this.fail(body.isErr() ? `response body is ${body.error.kind}` : 'connection failed during a response without a length')
       return
     }
-    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message) }, position: this.position })
+    this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message, this.options.method) }, position: this.position })
   }
 
   /** Why the response does not belong to this request; undefined if it does. */
@@ -236,7 +236,11 @@
   }
 }
 
+/** Statuses whose responses have no body. */
+const BODYLESS_STATUSES: ReadonlySet<number> = new Set([204, 304])
+
 /** Whether the end of the body is marked only by the end of the connection. */
-function isUnframed (message: Http.IncomingMessage): boolean {
+function isUnframed (message: Http.IncomingMessage, method: string): boolean {
+  if (method === 'HEAD' || BODYLESS_STATUSES.has(message.statusCode ?? HTTP_OK)) return false
   return message.headers['content-length'] === undefined && message.headers['transfer-encoding'] === undefined
 }
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -24,14 +24,14 @@
 function dispatch (
   sender: ScriptedSenders.ScriptedSender, route: Partial<Routes.Route>, names = NAMES, slack = 1_000,
   budget = new RetryBudgets.RetryBudget(() => ({ window: Decisions.Clock.seconds(10), ratio: 0.2, slack })), deadline = Decisions.Clock.seconds(2),
-  views = new HostViews.HostViews()
+  views = new HostViews.HostViews(), mayEndConnection = true
 ): Dispatches.Dispatch {
   const directory = new Directories.Directory()
   for (const name of names) directory.merge(Samples.registration(name))
   const location: TargetSelectors.NodeLocation = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
   const request: Requests.EntryRequest = {
     id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
-    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline
+    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline, tryEndConnection: () => mayEndConnection
   }
   return new Dispatches.Dispatch(request, {
     clock: CLOCK, directory, views, targetSelector: new TargetSelectors.TargetSelector(location, views, new Decisions.Random.Random(5)),
