fix(proxy): fail one request only when its response cannot be passed on

Callers saw: a connection that breaks over other requests when a target answers with a status below 100, and requests behind it that get no answer (LOST). Cause: the HTTP library refuses to write such a status; the error of the handler destroyed the connection of the caller. Ruled out: bytes that the parser rejects; it accepts any three digits. Change: such a status counts as an invalid response. An unexpected error while a request is handled gives it a 502, if nothing was sent yet, instead of ending its connection.

--- a/packages/proxy/src/entry/answer.ts
+++ b/packages/proxy/src/entry/answer.ts
@@ -10,6 +10,6 @@
    * It is unknown whether the request ran. `response-unframed`: the response has no length, and would end the connection
    * over requests behind it.
    */
-  | { readonly kind: 'unknown', readonly reason: HostedRequests.FailureReason | 'response-unframed' }
+  | { readonly kind: 'unknown', readonly reason: HostedRequests.FailureReason | 'response-unframed' | 'internal-error' }
   /** The caller disconnected before the answer. */
   | { readonly kind: 'abandoned' }
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -87,7 +87,7 @@
     this.drain = drain
   }
 
-  /** Handles a request whose head has been read. */
+  /** Handles a request whose head has been read. Errors fail this request only. */
   async handle (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
     const { dialect, clock, log } = this.dependencies
     const callerMetadata = dialect.readCallerMetadata(request.rawHeaders)
@@ -103,8 +103,15 @@
       return
     }
     this.countUntilEnd(inbound, connection)
-    if ('status' in route) await this.reject(inbound, route)
-    else await this.receive(inbound, route, callerMetadata.remaining ?? DEADLINE_DEFAULT)
+    try {
+      if ('status' in route) await this.reject(inbound, route)
+      else await this.receive(inbound, route, callerMetadata.remaining ?? DEADLINE_DEFAULT)
+    } catch (error) {
+      log.warn('request handler failed', { request: id, error: error instanceof Error ? error.stack ?? error.message : String(error) })
+      // Whether the request ran is unknown.
+      if (inbound.isWritten) response.destroy()
+      else this.answer(inbound, { kind: 'unknown', reason: 'internal-error' })
+    }
   }
 
   /** Counts the request as open until its response has been written or its connection is closed. */
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -21,7 +21,7 @@
   /** The request was sent and no complete response to it arrived: whether it ran is unknown. */
   | { readonly kind: 'lost', readonly reason: string, readonly cause: LossCause, readonly position: number | undefined }
 
-/** `mismatched`: the response belongs to another request. */
+/** `mismatched`: the response belongs to another request, or is none. */
 export type LossCause = 'timed-out' | 'connection-lost' | 'mismatched'
 
 /** By which a response is matched with its request. */
@@ -205,9 +205,10 @@
     this.finish({ kind: 'answered', response: { status: message.statusCode ?? HTTP_OK, headers: message.rawHeaders, body: body.value, isFramed: !isUnframed(message, this.options.method) }, position: this.position })
   }
 
-  /** Why the response does not belong to this request; undefined if it does. */
-  private describeMismatch ({ rawHeaders }: Http.IncomingMessage): string | undefined {
+  /** Why the response is none to this request; undefined if it is one. */
+  private describeMismatch ({ rawHeaders, statusCode = 0 }: Http.IncomingMessage): string | undefined {
     const { correlation } = this.options
+    if (statusCode < HTTP_OK) return `status ${statusCode} is none of a final response`
     if (correlation === undefined) return undefined
     const named = correlation.readRequest(rawHeaders)
     if (named === correlation.request) return undefined
