fix(proxy): let a stopping node deliver the responses that are still being sent

Cause: the HTTP server's close() also closes connections that it takes for idle, and a connection whose response has been handed over for sending counts as idle. Ruled out: the shutdown timeout, which is 2.3 s later. Change: the node stops listening without closing connections.

--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -50,7 +50,8 @@
 
   /** Stops accepting connections of callers. Requests on open connections are still answered. */
   stopAccepting (): void {
-    this.callerServer.close()
+    // The method of the HTTP server also closes connections whose last response is still being sent.
+    Net.Server.prototype.close.call(this.callerServer)
   }
 
   close (): void {
