fix(proxy): let the last response of a connection arrive while its caller is still sending

Callers saw: a connection that breaks without the response that ends it, although a target ran the request (LOST). Cause: a response that closes the connection was followed by a full close. Requests that the caller sends across it arrive at a closed socket, which resets the connection, and the caller may lose what it has not read yet. Ruled out: the order of responses; the node had sent all of them. Change: the sending direction is ended, and what still arrives is read and discarded until the caller closes, for a second at most. A stopping node waits for these connections too.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -82,6 +82,11 @@
     return this.openRequests
   }
 
+  /** Number of connections that end as soon as their callers have read the last response, or after a second. */
+  get closingConnections (): number {
+    return this.connections.closingCount
+  }
+
   /** Closes connections with their next response from now on, so that callers connect to another node. */
   startDraining (drain: Drain): void {
     this.drain = drain
@@ -100,6 +105,7 @@
     })
     if (!connection.add(inbound)) {
       log.info('request was not read, since an earlier response closes its connection', { request: id })
+      request.resume()
       return
     }
     this.countUntilEnd(inbound, connection)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -171,7 +171,7 @@
     await Delays.delay(CALLER_DRAIN_DELAY - HOST_DRAIN_DELAY)
     // Requests of callers that ignore the readiness check would be aborted at the shutdown timeout.
     servers.stopAccepting()
-    while (clock.now() < shutdownDeadline && inFlight() > 0) await Delays.delay(SHUTDOWN_POLL_INTERVAL_MS)
+    while (clock.now() < shutdownDeadline && inFlight() + gateway.closingConnections > 0) await Delays.delay(SHUTDOWN_POLL_INTERVAL_MS)
     const abortedCount = inFlight()
     this.close()
     log.info('node stopped', { after: Math.round(clock.now() - startedAt), cut: abortedCount })
