fix(proxy): log malformed bytes once a connection

Operators saw: a line for each piece of malformed bytes, since the order of a connection moved to its owner; a caller that goes on sending could fill the log's share of lines. Cause: the check whether such bytes are news was lost with that change. Change: bytes are ignored when nothing more is read from the connection.

--- a/packages/proxy/src/entry/caller-connection.ts
+++ b/packages/proxy/src/entry/caller-connection.ts
@@ -109,9 +109,14 @@
     }
   }
 
+  /** Whether bytes that arrive now matter: requests are still read from the connection. */
+  get isReadable (): boolean {
+    return !this.isBroken && !this.isSealed
+  }
+
   /** Records that bytes arrived that are no request. Returns whether they can be rejected now, since no response is due before. */
   breakOff (): boolean {
-    if (this.isBroken || this.isSealed) return false
+    if (!this.isReadable) return false
     this.isBroken = true
     if (this.answerable > 0) return false
     this.finish()
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -202,8 +202,8 @@
    */
   rejectMalformed (code: string | undefined, socket: Net.Socket): void {
     // The HTTP library also reports that the caller has reset the connection, and bytes that follow the last request of a connection.
-    if (!socket.writable) return
     const connection = this.connections.of(socket)
+    if (!socket.writable || !connection.isReadable) return
     const { answerable } = connection
     const mayReject = connection.breakOff()
     const status = MALFORMED_STATUSES[code ?? ''] ?? STATUS_BAD_REQUEST
