--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -182,3 +182,19 @@
   assert.deepEqual(answer, { kind: 'not-run', reason: 'request-blocked', retryAfter: 60_000 })
   assert.equal(sender.sent.length, 1)
 })
+
+// Guards against a response without a length that ends the caller's connection over requests that run, and against throwing it away where it may end there.
+test('response without a length is delivered only where it may end the connection', async () => {
+  const unframed = (status: number): HostedRequests.Outcome => ({ kind: 'answered', response: { status, headers: [], body: Buffer.alloc(0), isFramed: false } })
+  for (const mayEndConnection of [true, false]) {
+    const ask = async (respond: (attempt: number) => HostedRequests.Outcome, repeatable: boolean): Promise<string> => {
+      const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => respond(attempt))
+      const answer = await dispatch(sender, { attempts: 2, repeatable }, NAMES, 1_000, undefined, undefined, undefined, mayEndConnection).answer
+      return `${answer.kind === 'response' ? answer.response.status : answer.kind} after ${sender.sent.length}`
+    }
+    assert.equal(await ask(attempt => attempt === 1 ? unframed(200) : answered(201), true), mayEndConnection ? '200 after 1' : '201 after 2')
+    assert.equal(await ask(() => unframed(200), true), mayEndConnection ? '200 after 1' : 'unknown after 2')
+    assert.equal(await ask(() => unframed(500), true), mayEndConnection ? '500 after 2' : 'unknown after 2')
+    assert.equal(await ask(() => unframed(200), false), mayEndConnection ? '200 after 1' : 'unknown after 1')
+  }
+})
