fix(proxy): recognize a reset that arrives together with the end of a response without a length

Callers saw: a success without a length whose target had reset the connection (MIXED: such a response is not whole). Cause: if data and a reset are pending when the event loop polls, libuv reports an ordinary end. Evidence: a trial with two processes, the reading one busy for 20 ms: 31 of 200 resets are reported as an end, and at each of the 31 the socket has no remote address; at 200 of 200 ordinary ends it has one. The new test failed with `answered`. Ruled out: the stand-in, which sends the reset 20 ms after the data; the order of listeners, since no error is emitted at all. Asking after the library's own listener: it ends its direction too, and then the address is gone after an ordinary end as well (tried, ordinary ends counted as lost). Change: at the end of the connection the remote address is asked for, before the library's listener runs; without one the response is lost. Conclusion: fixed where the system tells the two apart by the address, as Linux does.

--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -135,9 +135,16 @@
     request.on('socket', socket => {
       if (options.correlation !== undefined) this.position = options.connections.history.record(socket, options.correlation.request)
       const markConnectionError = (): void => { this.hasConnectionError = true }
+      // A reset that arrives together with data is reported as an ordinary end; only the peer's address is gone then. Asked before the
+      // library ends its direction too.
+      const detectReset = (): void => { if (socket.remoteAddress === undefined) markConnectionError() }
       socket.once('error', markConnectionError)
+      socket.prependOnceListener('end', detectReset)
       // A pooled connection outlives the request.
-      request.once('close', () => { socket.off('error', markConnectionError) })
+      request.once('close', () => {
+        socket.off('error', markConnectionError)
+        socket.off('end', detectReset)
+      })
       if (!socket.connecting) {
         this.handleConnected()
         return
--- a/packages/proxy/tests/transport/exchange.test.ts
+++ b/packages/proxy/tests/transport/exchange.test.ts
@@ -74,6 +74,20 @@
   assert.equal(result.kind, 'lost')
 })
 
+// Guards against a reset that looks like an ordinary end: the system reports it so if data and reset arrive while the node is busy.
+test('response without a length is lost when its connection is reset at once, and complete when it ends', async () => {
+  for (const [isReset, expected] of [[true, 'lost'], [false, 'answered']] as const) {
+    const server = rawServer(socket => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nabc')
+      if (isReset) socket.resetAndDestroy()
+      else socket.end()
+    })
+    const address = await listen(server)
+    for (let count = 0; count < 20; count += 1) assert.equal((await new Exchanges.Exchange(createOptions(address)).result).kind, expected)
+    server.close()
+  }
+})
+
 // Guards against a request that counts as possibly run although no connection was opened.
 test('request is not sent when the connection is refused', async () => {
   const server = Net.createServer()
