feat(proxy): client accounts with keys, priorities and strict revocation

Cause: the product knew no client accounts. On deployments whose configuration names them, any request ran, its key was passed on to backend servers, and account names that a caller sent were believed.

Change: accounts are part of the configuration. The entry decides on route, then key (accounts/authentication.ts); hosts get the account's name with a forwarded request. The account's priority replaces that of the route. Peers pass accounts on; a configuration of a peer that states none is not taken over. A request without a key on an anonymous route is marked as a call of a backend server.

--- a/packages/measurements/src/commands/proxy.ts
+++ b/packages/measurements/src/commands/proxy.ts
@@ -55,10 +55,11 @@
   const routes = Array.from({ length: size }, (_, index): Proxy.Routes.Route => ({
     name: `route-${index}`, host: `host-${index % SERVICES}.example`, pathPrefix: `/path-${index}/`, repeatable: true, timeout: Decisions.Clock.seconds(2),
     latencyObjective: Decisions.Clock.milliseconds(400), priority: 1, attempts: 2,
-    destinations: [{ service: Decisions.Ids.service(`service-${index % SERVICES}`), weight: 1 }]
+    destinations: [{ service: Decisions.Ids.service(`service-${index % SERVICES}`), weight: 1 }],
+    allowsAnonymous: false
   }))
   const limits = { headerBytes: 16_384, bodyBytes: MEGABYTE_BYTES, headerTimeout: Decisions.Clock.seconds(3), idleTimeout: Decisions.Clock.seconds(15) }
-  return new Proxy.RouteTables.RouteTable({ version: Decisions.Ids.version(1), checksum: '0', routes, limits })
+  return new Proxy.RouteTables.RouteTable({ version: Decisions.Ids.version(1), checksum: '0', routes, accounts: undefined, limits })
 }
 
 function print (name: string, size: number, { megabytes, milliseconds }: Measured): void {
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -2,6 +2,8 @@
 import * as Http from 'node:http'
 import type * as Net from 'node:net'
 import * as Decisions from '@jasminedale/decisions'
+import type * as Accounts from '../accounts/account.js'
+import * as Authentications from '../accounts/authentication.js'
 import * as Forwarding from '../host/forwarding.js'
 import type * as Hosts from '../host/host.js'
 import type * as Logs from '../observation/log.js'
@@ -28,6 +30,7 @@
 /** Time after the deadline within which the last answers are sent. */
 const ANSWER_MARGIN_MS = 100
 const STATUS_BAD_REQUEST = 400
+const STATUS_UNAUTHORIZED = 401
 const STATUS_NOT_FOUND = 404
 /** Code for a request to open a tunnel (CONNECT), behind which no request can be read. */
 export const TUNNEL_REQUESTED = 'tunnel-requested'
@@ -50,7 +53,16 @@
   readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
   readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock' | 'blockedFor'>
-  readonly settings: Pick<Settings.ProxySettings, 'service'>
+  readonly settings: Pick<Settings.ProxySettings, 'service' | 'revocation'>
+}
+
+/** The route of a request and the client account that sent it. */
+interface Recipient {
+  readonly route: Routes.Route
+  /** Undefined for an anonymous request, and without accounts. */
+  readonly account: Accounts.Account | undefined
+  /** Whether the configuration has accounts and the request carries no key. */
+  readonly isAnonymous: boolean
 }
 
 /** Answer to a request that is not dispatched. */
@@ -97,10 +109,10 @@
     const { dialect, clock, log } = this.dependencies
     const callerMetadata = dialect.readCallerMetadata(request.rawHeaders)
     const id = callerMetadata.request ?? Decisions.Ids.requestId('')
-    const route = this.routeOf(request, request.url ?? '')
+    const recipient = this.recipientOf(request, callerMetadata)
     const connection = this.connections.of(request.socket)
     const inbound = new InboundRequests.InboundRequest({
-      request, response, id, arrivedAt: clock.now(), holdsBack: !('status' in route) && !route.repeatable,
+      request, response, id, arrivedAt: clock.now(), holdsBack: !('status' in recipient) && !recipient.route.repeatable,
       onClosing: reason => { log.info('response closes the connection of its caller', { request: id, reason, answerable: connection.answerable }) }
     })
     if (!connection.add(inbound)) {
@@ -110,8 +122,8 @@
     }
     this.countUntilEnd(inbound, connection)
     try {
-      if ('status' in route) await this.reject(inbound, route)
-      else await this.receive(inbound, route, callerMetadata.remaining ?? DEADLINE_DEFAULT)
+      if ('status' in recipient) await this.reject(inbound, recipient)
+      else await this.receive(inbound, recipient, callerMetadata.remaining ?? DEADLINE_DEFAULT)
     } catch (error) {
       log.warn('request handler failed', { request: id, error: error instanceof Error ? error.stack ?? error.message : String(error) })
       // Whether the request ran is unknown.
@@ -136,7 +148,8 @@
   }
 
   /** Reads the body of a request, and admits it. `callerTimeout` is the time for which the caller waits. */
-  private async receive (inbound: InboundRequests.InboundRequest, route: Routes.Route, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+  private async receive (inbound: InboundRequests.InboundRequest, recipient: Recipient, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+    const { route } = recipient
     const limit = this.dependencies.configuration.current?.limits.bodyBytes ?? 0
     const body = await Bodies.read(inbound.request, limit)
     if (body.isErr()) {
@@ -146,12 +159,12 @@
     }
     const connection = this.connections.of(inbound.request.socket)
     if (connection.isHeldBack(inbound)) this.dependencies.log.info('request waits for the response to a non-idempotent one', { request: inbound.id, route: route.name })
-    if (await connection.mayPassOn(inbound)) await this.admit(inbound, route, body.value, callerTimeout)
+    if (await connection.mayPassOn(inbound)) await this.admit(inbound, recipient, body.value, callerTimeout)
     else this.dependencies.log.info('request was not passed on, since an earlier response closes its connection', { request: inbound.id, route: route.name })
   }
 
   /** Dispatches a request that was read completely. `callerTimeout` is the time for which the caller waits. */
-  private async admit (inbound: InboundRequests.InboundRequest, route: Routes.Route, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+  private async admit (inbound: InboundRequests.InboundRequest, { route, account, isAnonymous }: Recipient, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
     const { request, arrivedAt, id } = inbound
     const [method, path] = [request.method ?? 'GET', request.url ?? '']
     const deadline = Decisions.Clock.add(arrivedAt, Decisions.Clock.milliseconds(Math.min(callerTimeout, route.timeout)))
@@ -175,6 +188,10 @@
       body,
       route,
       service,
+      account: account?.name,
+      priority: account?.priority ?? route.priority,
+      // Callers send a key whenever the configuration has accounts; backend servers send none.
+      isCall: isAnonymous,
       arrivedAt,
       deadline,
       tryEndConnection: () => connection.tryEndWith(inbound)
@@ -213,6 +230,20 @@
     socket.destroySoon()
   }
 
+  private recipientOf (request: Http.IncomingMessage, { key }: Dialects.CallerMetadata): Recipient | Rejection {
+    const route = this.routeOf(request, request.url ?? '')
+    if ('status' in route) return route
+    const { configuration, clock, settings: { revocation } } = this.dependencies
+    const { accounts } = configuration
+    const now = clock.now()
+    const authentication = Authentications.authenticate(route, key, { accounts, isCurrent: configuration.isCurrent(now), contactAge: configuration.contactAge(now), revocation })
+    switch (authentication.kind) {
+      case 'accepted': return { route, account: authentication.account, isAnonymous: accounts !== undefined && key === undefined }
+      case 'key-unknown': return { status: STATUS_UNAUTHORIZED, reason: authentication.kind }
+      case 'key-unconfirmed': return { status: STATUS_UNAVAILABLE, reason: authentication.kind, retryAfter: STARTING_RETRY_AFTER_MS }
+    }
+  }
+
   private routeOf (request: Http.IncomingMessage, path: string): Routes.Route | Rejection {
     const { configuration } = this.dependencies
     const table = configuration.table
--- a/packages/proxy/src/entry/request.ts
+++ b/packages/proxy/src/entry/request.ts
@@ -11,6 +11,12 @@
   readonly body: Buffer
   readonly route: Routes.Route
   readonly service: Decisions.Ids.Service
+  /** Client account of the caller, if its key is known. */
+  readonly account: Decisions.Ids.Account | undefined
+  /** Priority under overload, of the account or else of the route; 0 is the most urgent. */
+  readonly priority: number
+  /** Whether a backend server sent it while it ran another request, which fails without it. */
+  readonly isCall: boolean
   readonly arrivedAt: Decisions.Clock.Milliseconds
   /** The caller's deadline or the route's timeout, whichever is earlier. */
   readonly deadline: Decisions.Clock.Milliseconds
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -91,9 +91,12 @@
       method: request.method,
       path: request.path,
       headers: request.headers,
+      route: request.route.name,
+      account: request.account,
+      isCall: request.isCall,
       repeatable: request.route.repeatable,
       mayBeProbe,
-      priority: request.route.priority,
+      priority: request.priority,
       deadline: request.deadline,
       latencyObjective: request.route.latencyObjective,
       objectiveDeadline: Decisions.Clock.add(request.arrivedAt, request.route.latencyObjective),
@@ -119,8 +122,9 @@
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const fields = Forwarding.formatMetadata({
       target, remaining, latencyObjective: request.route.latencyObjective,
-      objectiveRemaining: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.route.priority,
-      repeatable: request.route.repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService
+      objectiveRemaining: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.priority,
+      repeatable: request.route.repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService,
+      route: request.route.name, account: request.account, isCall: request.isCall
     })
     const exchange = new Exchanges.Exchange({
       address: registration.host,
--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -5,7 +5,7 @@
 import * as HostReports from './host-report.js'
 import * as HostedRequests from './hosted-request.js'
 
-/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1. */
+/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1, names percent-encoded. Further fields are ignored. */
 const METADATA_HEADER = 'jasminedale-work'
 /** The host's report. */
 const REPORT_HEADER = 'jasminedale-host'
@@ -20,7 +20,9 @@
 /** Headers that are not passed on: those of the protocol between nodes, and the length, which each sender sets itself. */
 export const INTERNAL_HEADERS: ReadonlySet<string> = new Set([METADATA_HEADER, REPORT_HEADER, REFUSED_HEADER, FAILED_HEADER, UNFRAMED_HEADER, 'content-length'])
 
-const FIELD_COUNT = 10
+const FIELD_COUNT = 13
+/** Encodes an absent account. */
+const NO_ACCOUNT = '-'
 const STATUS_REFUSED = 503
 const STATUS_FAILED = 502
 
@@ -40,12 +42,17 @@
   readonly mayBypassBreaker: boolean
   /** Service of the VM from which the caller sent the request. */
   readonly callerService: Decisions.Ids.Service
+  /** These have the same meaning as in `HostedRequest`. */
+  readonly route: string
+  readonly account: Decisions.Ids.Account | undefined
+  readonly isCall: boolean
 }
 
 export function formatMetadata (metadata: RequestMetadata): string[] {
   const fields = [
     metadata.target, Math.round(metadata.remaining), Math.round(metadata.latencyObjective), Math.round(metadata.objectiveRemaining), metadata.priority,
-    Number(metadata.repeatable), Number(metadata.mayBeProbe), Number(metadata.mayQueue), Number(metadata.mayBypassBreaker), metadata.callerService
+    Number(metadata.repeatable), Number(metadata.mayBeProbe), Number(metadata.mayQueue), Number(metadata.mayBypassBreaker), metadata.callerService,
+    encodeURIComponent(metadata.route), metadata.account === undefined ? NO_ACCOUNT : `=${encodeURIComponent(metadata.account)}`, Number(metadata.isCall)
   ]
   return [METADATA_HEADER, fields.join(' ')]
 }
@@ -53,8 +60,8 @@
 /** Undefined when the request was not forwarded by a node or its metadata is not valid. */
 export function parseMetadata (headers: readonly string[]): RequestMetadata | undefined {
   const fields = Headers.firstValue(headers, METADATA_HEADER)?.split(' ') ?? []
-  const [target, remaining, objective, objectiveRemaining, priority, repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService] = fields
-  if (fields.length !== FIELD_COUNT || target === undefined || callerService === undefined) return undefined
+  const [target, remaining, objective, objectiveRemaining, priority, repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService, route, account, isCall] = fields
+  if (fields.length < FIELD_COUNT || target === undefined || callerService === undefined || route === undefined || account === undefined) return undefined
   const numbers = [remaining, objective, objectiveRemaining, priority].map(Number)
   if (!numbers.every(Number.isFinite)) return undefined
   return {
@@ -67,7 +74,19 @@
     mayBeProbe: mayBeProbe === '1',
     mayQueue: mayQueue === '1',
     mayBypassBreaker: mayBypassBreaker === '1',
-    callerService: Decisions.Ids.service(callerService)
+    callerService: Decisions.Ids.service(callerService),
+    route: decode(route),
+    account: account === NO_ACCOUNT ? undefined : Decisions.Ids.account(decode(account.slice(1))),
+    isCall: isCall === '1'
+  }
+}
+
+/** A text that is not percent-encoded correctly is taken as it is. */
+function decode (text: string): string {
+  try {
+    return decodeURIComponent(text)
+  } catch {
+    return text
   }
 }
 
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -201,7 +201,7 @@
   private send (request: HostedRequests.HostedRequest, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
     const remaining = Decisions.Clock.between(now, request.deadline)
     const { dialect, targetAddress } = this.dependencies
-    const fields = dialect.targetRequestFields({ target: request.target, callerService: request.callerService, remaining })
+    const fields = dialect.targetRequestFields({ target: request.target, callerService: request.callerService, remaining, account: request.account })
     return new Exchanges.Exchange({
       correlation: { request: request.id, readRequest: headers => dialect.readResponseRequest(headers) },
       address: targetAddress,
--- a/packages/proxy/src/host/hosted-request.ts
+++ b/packages/proxy/src/host/hosted-request.ts
@@ -14,6 +14,12 @@
   readonly repeatable: boolean
   /** Whether the request can be retried elsewhere and so may probe a target whose circuit breaker is tripped. */
   readonly mayBeProbe: boolean
+  /** Name of the route. */
+  readonly route: string
+  /** Client account of the caller, if any. */
+  readonly account: Decisions.Ids.Account | undefined
+  /** Whether a backend server sent it while it ran another request, which fails without it. */
+  readonly isCall: boolean
   /** Priority under overload; 0 is the most urgent. */
   readonly priority: number
   readonly deadline: Decisions.Clock.Milliseconds
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,4 +1,5 @@
 /** Public interface of the proxy package. */
+export * as Accounts from './accounts/account.js'
 export * as ConfigurationStates from './state/configuration-state.js'
 export * as ConnectionPools from './transport/connection-pool.js'
 export * as DestinationChoosers from './routes/destination-chooser.js'
--- a/packages/proxy/src/routes/route.ts
+++ b/packages/proxy/src/routes/route.ts
@@ -1,5 +1,6 @@
 /** Routes and caller limits of one accepted configuration. */
 import type * as Decisions from '@jasminedale/decisions'
+import type * as Accounts from '../accounts/account.js'
 
 /** A service that receives a share of a route's requests. */
 export interface Destination {
@@ -24,6 +25,8 @@
   /** Largest number of targets on which one request may run, the first included. */
   readonly attempts: number
   readonly destinations: readonly Destination[]
+  /** Whether requests need no key of a client account. */
+  readonly allowsAnonymous: boolean
 }
 
 export interface CallerLimits {
@@ -40,5 +43,7 @@
   /** Digest of the published record, by which operators compare what is in force on different nodes. */
   readonly checksum: string
   readonly routes: readonly Route[]
+  /** Undefined when requests carry no keys. */
+  readonly accounts: readonly Accounts.Account[] | undefined
   readonly limits: CallerLimits
 }
--- a/packages/proxy/src/state/configuration-state.ts
+++ b/packages/proxy/src/state/configuration-state.ts
@@ -1,5 +1,6 @@
 /** The configuration in force on this node, and the age of the last confirmation that it is the newest. */
 import * as Decisions from '@jasminedale/decisions'
+import * as AccountTables from '../accounts/account-table.js'
 import type * as Routes from '../routes/route.js'
 import * as RouteTables from '../routes/route-table.js'
 
@@ -8,6 +9,7 @@
 
 export class ConfigurationState {
   private routeTable: RouteTables.RouteTable | undefined
+  private accountTable: AccountTables.AccountTable | undefined
   private lastContactAt: Decisions.Clock.Milliseconds | undefined
   private replacedAt: Decisions.Clock.Milliseconds | undefined
 
@@ -15,6 +17,11 @@
     return this.routeTable
   }
 
+  /** Undefined when the configuration in force has no client accounts. */
+  get accounts (): AccountTables.AccountTable | undefined {
+    return this.accountTable
+  }
+
   get current (): Routes.RouteConfiguration | undefined {
     return this.routeTable?.configuration
   }
@@ -27,6 +34,7 @@
   replaceIfNewer (configuration: Routes.RouteConfiguration, now: Decisions.Clock.Milliseconds): boolean {
     if (this.current !== undefined && configuration.version <= this.current.version) return false
     this.routeTable = new RouteTables.RouteTable(configuration)
+    this.accountTable = configuration.accounts === undefined ? undefined : new AccountTables.AccountTable(configuration.accounts)
     this.replacedAt = now
     return true
   }
--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -31,12 +31,19 @@
 const durationSchema = zod.number().transform(Decisions.Clock.milliseconds)
 const routeSchema = zod.object({
   name: zod.string(), host: zod.string(), pathPrefix: zod.string(), repeatable: zod.boolean(), timeout: durationSchema, latencyObjective: durationSchema,
-  priority: zod.number(), attempts: zod.number(), destinations: zod.array(destinationSchema).readonly()
+  priority: zod.number(), attempts: zod.number(), destinations: zod.array(destinationSchema).readonly(),
+  allowsAnonymous: zod.boolean()
+})
+const accountSchema = zod.object({
+  name: zod.string().transform(Decisions.Ids.account), keys: zod.array(zod.string()).readonly(),
+  priority: zod.number().exactOptional(), rateLimit: zod.object({ rate: zod.number(), burst: zod.number() }).exactOptional()
 })
 const configurationSchema = zod.object({
   version: zod.number().transform(Decisions.Ids.version),
   checksum: zod.string(),
   routes: zod.array(routeSchema).readonly(),
+  /** Null without accounts. Required, so that a peer of an earlier version, which knows no accounts, is not taken for one that has none. */
+  accounts: zod.array(accountSchema).readonly().nullable(),
   limits: zod.object({ headerBytes: zod.number(), bodyBytes: zod.number(), headerTimeout: durationSchema, idleTimeout: durationSchema })
 })
 
@@ -96,7 +103,7 @@
         })
     return {
       current: configuration.isCurrent(clock.now()),
-      ...(current !== undefined && current.version > version ? { configuration: current } : {}),
+      ...(current !== undefined && current.version > version ? { configuration: { ...current, accounts: current.accounts ?? null } } : {}),
       registrations
     }
   }
@@ -109,7 +116,7 @@
 
   private mergeState (result: Result): boolean {
     const { configuration, log, clock } = this.dependencies
-    let changed = result.configuration !== undefined && configuration.replaceIfNewer(result.configuration, clock.now())
+    let changed = result.configuration !== undefined && configuration.replaceIfNewer({ ...result.configuration, accounts: result.configuration.accounts ?? undefined }, clock.now())
     for (const item of result.registrations) {
       const registration = RegistrationRecords.parse('peer', item)
       if (registration.isOk()) changed = this.mergeRegistration(registration.value) || changed
--- a/packages/proxy/src/transport/dialect.ts
+++ b/packages/proxy/src/transport/dialect.ts
@@ -9,6 +9,8 @@
   readonly request?: Decisions.Ids.RequestId
   /** Time for which the caller still waits for the response. */
   readonly remaining?: Decisions.Clock.Milliseconds
+  /** Key of the caller's client account. */
+  readonly key?: string
 }
 
 /** Metadata of a request to a backend server. */
@@ -18,6 +20,8 @@
   /** Service of the VM from which the caller sent the request. */
   readonly callerService: Decisions.Ids.Service
   readonly remaining: Decisions.Clock.Milliseconds
+  /** Client account of the request, if any. */
+  readonly account: Decisions.Ids.Account | undefined
 }
 
 /** Metadata of a backend server's response. */
--- a/packages/proxy/tests/entry/dispatch.test.ts
+++ b/packages/proxy/tests/entry/dispatch.test.ts
@@ -31,7 +31,7 @@
   const location: TargetSelectors.NodeLocation = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
   const request: Requests.EntryRequest = {
     id: Decisions.Ids.requestId('q'), method: 'GET', path: '/a/x', headers: [], body: Buffer.alloc(0), route: Samples.route(route),
-    service: Samples.SERVICE, arrivedAt: CLOCK.now(), deadline, tryEndConnection: () => mayEndConnection
+    service: Samples.SERVICE, account: undefined, priority: 1, isCall: false, arrivedAt: CLOCK.now(), deadline, tryEndConnection: () => mayEndConnection
   }
   return new Dispatches.Dispatch(request, {
     clock: CLOCK, directory, views, targetSelector: new TargetSelectors.TargetSelector(location, views, new Decisions.Random.Random(5)),
--- a/packages/proxy/tests/host/crash.test.ts
+++ b/packages/proxy/tests/host/crash.test.ts
@@ -28,7 +28,7 @@
     onBreakerChanged: () => { /* Ignored. */ }, onTargetLeaving: () => { /* Ignored. */ }
   })
   const outcome = await host.run({
-    id: Decisions.Ids.requestId('q'), target: TARGET, callerService: Samples.SERVICE, method: 'POST', path: '/a/x', headers: [], repeatable: false, mayBeProbe: false, priority: 1,
+    id: Decisions.Ids.requestId('q'), target: TARGET, callerService: Samples.SERVICE, method: 'POST', path: '/a/x', headers: [], route: 'r1', account: undefined, isCall: false, repeatable: false, mayBeProbe: false, priority: 1,
     deadline: Decisions.Clock.seconds(20), latencyObjective: Decisions.Clock.seconds(20), objectiveDeadline: Decisions.Clock.seconds(20), mayQueue: false, mayBypassBreaker: false,
     onQueued: () => { /* Not watched. */ }, commit: () => Promise.resolve(Buffer.from('order')), onWithdrawn: () => { /* Never withdrawn. */ }
   })
--- a/packages/proxy/tests/host/forwarding.test.ts
+++ b/packages/proxy/tests/host/forwarding.test.ts
@@ -12,9 +12,12 @@
 test('metadata is parsed as it was formatted', () => {
   const metadata: Forwarding.RequestMetadata = {
     target: Decisions.Ids.targetId('t1'), remaining: Decisions.Clock.milliseconds(900), latencyObjective: Decisions.Clock.milliseconds(300), objectiveRemaining: Decisions.Clock.milliseconds(250),
-    priority: 2, repeatable: false, mayBeProbe: true, mayQueue: true, mayBypassBreaker: false, callerService: Decisions.Ids.service('accounts')
+    priority: 2, repeatable: false, mayBeProbe: true, mayQueue: true, mayBypassBreaker: false, callerService: Decisions.Ids.service('accounts'),
+    route: 'r 1', account: Decisions.Ids.account('Über Tiernahrung'), isCall: true
   }
   assert.deepEqual(Forwarding.parseMetadata(Forwarding.formatMetadata(metadata)), metadata)
+  const anonymous = { ...metadata, account: undefined, isCall: false }
+  assert.deepEqual(Forwarding.parseMetadata(Forwarding.formatMetadata(anonymous)), anonymous)
 })
 
 test('request without valid metadata is not a forwarded one', () => {
--- a/packages/proxy/tests/host/host.test.ts
+++ b/packages/proxy/tests/host/host.test.ts
@@ -17,7 +17,7 @@
 
 function hostedRequest (overrides: Partial<HostedRequests.HostedRequest> = {}): HostedRequests.HostedRequest {
   return {
-    id: Decisions.Ids.requestId('q'), target: TARGET, callerService: Samples.SERVICE, method: 'GET', path: '/', headers: [], repeatable: false, mayBeProbe: false, priority: 1,
+    id: Decisions.Ids.requestId('q'), target: TARGET, callerService: Samples.SERVICE, method: 'GET', path: '/', headers: [], route: 'r1', account: undefined, isCall: false, repeatable: false, mayBeProbe: false, priority: 1,
     deadline: Decisions.Clock.add(CLOCK.now(), Decisions.Clock.seconds(20)), latencyObjective: Decisions.Clock.seconds(20),
     objectiveDeadline: Decisions.Clock.add(CLOCK.now(), Decisions.Clock.milliseconds(300)), mayQueue: false, mayBypassBreaker: false,
     onQueued: () => { /* Not watched. */ }, commit: () => Promise.resolve(Buffer.alloc(0)), onWithdrawn: () => { /* Never withdrawn. */ }, ...overrides
--- a/packages/proxy/tests/host/report-channel.test.ts
+++ b/packages/proxy/tests/host/report-channel.test.ts
@@ -38,7 +38,7 @@
   const settings: Settings.ProxySettings = {
     node: Decisions.Ids.nodeId(address), service: Samples.SERVICE, targetAddress: Decisions.Ids.endpoint('127.0.0.1:2'), callerAddress: Decisions.Ids.endpoint('127.0.0.1:3'),
     location: { host: Decisions.Ids.endpoint(`${address}:1`), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') },
-    retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 10 }, shutdownTimeout: Decisions.Clock.seconds(6), checksum: '0', reportPort
+    retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 10 }, shutdownTimeout: Decisions.Clock.seconds(6), checksum: '0', reportPort, ...Samples.LIMIT_SETTINGS
   }
   const channel = new NodeChannels.NodeChannel({ settings, log: new Logs.SilentLog() })
   return { views, channel, reports: new ReportChannels.ReportChannel({ settings, directory, views, clock: new Decisions.Clock.VirtualClock(), nodeChannel: channel }) }
--- a/packages/proxy/tests/membership.test.ts
+++ b/packages/proxy/tests/membership.test.ts
@@ -23,7 +23,7 @@
     settings: {
       node: Decisions.Ids.nodeId('n'), service: Samples.SERVICE, targetAddress: HOST, callerAddress: HOST, checksum: '0', shutdownTimeout: Decisions.Clock.seconds(6),
       location: { host: HOST, dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') },
-      reportPort: 1, retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }
+      reportPort: 1, retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }, ...Samples.LIMIT_SETTINGS
     },
     log: new Logs.SilentLog(), directory, localTarget, views: new HostViews.HostViews(),
     host: { resetTarget: () => { /* Ignored. */ } },
--- a/packages/proxy/tests/state/settings-state.test.ts
+++ b/packages/proxy/tests/state/settings-state.test.ts
@@ -10,7 +10,7 @@
 const SETTINGS: Settings.ProxySettings = {
   node: Decisions.Ids.nodeId('n'), service: Samples.SERVICE, targetAddress: HOST, callerAddress: HOST, reportPort: 1, checksum: 'first',
   location: { host: HOST, dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') },
-  retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }, shutdownTimeout: Decisions.Clock.seconds(6)
+  retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 60 }, shutdownTimeout: Decisions.Clock.seconds(6), ...Samples.LIMIT_SETTINGS
 }
 
 // Guards against an edited settings file of which nobody can tell whether it is in force on a node.
--- a/packages/proxy/tests/state/state-transfer.test.ts
+++ b/packages/proxy/tests/state/state-transfer.test.ts
@@ -13,9 +13,9 @@
 const PEER = Decisions.Ids.endpoint('10.0.0.2:80')
 const READY: Partial<Registrations.Registration> = { state: 'ready', sequence: 9 }
 
-function createTransfer (network: MemoryNetworks.MemoryNetwork, host: Decisions.Ids.Endpoint, directory: Directories.Directory): StateTransfers.StateTransfer {
+function createTransfer (network: MemoryNetworks.MemoryNetwork, host: Decisions.Ids.Endpoint, directory: Directories.Directory, configuration = new ConfigurationStates.ConfigurationState()): StateTransfers.StateTransfer {
   return new StateTransfers.StateTransfer({
-    clock: new Decisions.Clock.VirtualClock(), log: new Logs.SilentLog(), configuration: new ConfigurationStates.ConfigurationState(), directory, nodeRpc: network.rpcOf(host),
+    clock: new Decisions.Clock.VirtualClock(), log: new Logs.SilentLog(), configuration, directory, nodeRpc: network.rpcOf(host),
     registrationRecovery: { recordFromPeer: () => { /* Ignored. */ } }
   })
 }
@@ -42,6 +42,19 @@
   assert.equal((await transfer(READY, { ...READY, sequence: 1, incarnation }))?.incarnation, incarnation)
 })
 
+// Guards against a node that accepts any request, or none, because it got the configuration from a peer.
+test('configuration from a peer has its client accounts', async () => {
+  for (const accounts of [undefined, [], [{ name: Decisions.Ids.account('a'), keys: ['k'], priority: 0, rateLimit: { rate: 5, burst: 6 } }]]) {
+    const network = new MemoryNetworks.MemoryNetwork()
+    const [configuration, peerConfiguration] = [new ConfigurationStates.ConfigurationState(), new ConfigurationStates.ConfigurationState()]
+    const routes = [Samples.route({ allowsAnonymous: true })]
+    peerConfiguration.replaceIfNewer(Samples.configuration({ accounts, routes }), Decisions.Clock.milliseconds(0))
+    createTransfer(network, PEER, new Directories.Directory(), peerConfiguration)
+    await createTransfer(network, NODE, new Directories.Directory(), configuration).fetchFrom(PEER)
+    assert.deepEqual([configuration.current?.accounts, configuration.current?.routes], [accounts, routes])
+  }
+})
+
 // Guards against an older state that a peer still has.
 test('older registration is not transferred', async () => {
   assert.equal((await transfer({ ...READY, state: 'gone' }, { ...READY, sequence: 20 }))?.state, 'gone')
--- a/packages/proxy/tests/support/data-center.ts
+++ b/packages/proxy/tests/support/data-center.ts
@@ -58,7 +58,7 @@
     const settings = {
       node: Decisions.Ids.nodeId(host), location: { host, dataCenter: this.dataCenterOf(host), region: Decisions.Ids.region('r') }, service: Samples.SERVICE,
       targetAddress: host, callerAddress: host, reportPort: 1, retryBudget: { window: Decisions.Clock.seconds(10), ratio: 0.2, slack: 1 },
-      shutdownTimeout: Decisions.Clock.seconds(6), checksum: '0'
+      shutdownTimeout: Decisions.Clock.seconds(6), checksum: '0', ...Samples.LIMIT_SETTINGS
     }
     const sharedLog = new RelayedLogs.RelayedLog({ store, settings, clock, log, directory, nodeChannel: this.network.channelOf(host), nodeRpc })
     const registrar = new Registrars.Registrar(sharedLog, log, random)
