--- a/packages/measurements/src/commands/proxy.ts
+++ b/packages/measurements/src/commands/proxy.ts
@@ -59,7 +59,7 @@
     allowsAnonymous: false
   }))
   const limits = { headerBytes: 16_384, bodyBytes: MEGABYTE_BYTES, headerTimeout: Decisions.Clock.seconds(3), idleTimeout: Decisions.Clock.seconds(15) }
-  return new Proxy.RouteTables.RouteTable({ version: Decisions.Ids.version(1), checksum: '0', routes, accounts: undefined, limits })
+  return new Proxy.RouteTables.RouteTable({ version: Decisions.Ids.version(1), checksum: '0', routes, accounts: undefined, limits, features: { placesByCost: false, sharesFairly: false, admitsByDependencies: false } })
 }
 
 function print (name: string, size: number, { megabytes, milliseconds }: Measured): void {
--- a/packages/proxy/src/routes/route.ts
+++ b/packages/proxy/src/routes/route.ts
@@ -38,6 +38,16 @@
   readonly idleTimeout: Decisions.Clock.Milliseconds
 }
 
+/** Decisions about capacity that a configuration switches on. Without them requests are placed and queued by their number. */
+export interface CapacityFeatures {
+  /** Targets are chosen, and waits are estimated, by the expected cost of requests. */
+  readonly placesByCost: boolean
+  /** Room that is short is shared between client accounts, kinds of requests and calls of backend servers. */
+  readonly sharesFairly: boolean
+  /** Requests are admitted only if the services that they call have room. */
+  readonly admitsByDependencies: boolean
+}
+
 export interface RouteConfiguration {
   readonly version: Decisions.Ids.Version
   /** Digest of the published record, by which operators compare what is in force on different nodes. */
@@ -46,4 +56,5 @@
   /** Undefined when requests carry no keys. */
   readonly accounts: readonly Accounts.Account[] | undefined
   readonly limits: CallerLimits
+  readonly features: CapacityFeatures
 }
--- a/packages/proxy/src/state/state-transfer.ts
+++ b/packages/proxy/src/state/state-transfer.ts
@@ -44,7 +44,8 @@
   routes: zod.array(routeSchema).readonly(),
   /** Null without accounts. Required, so that a peer of an earlier version, which knows no accounts, is not taken for one that has none. */
   accounts: zod.array(accountSchema).readonly().nullable(),
-  limits: zod.object({ headerBytes: zod.number(), bodyBytes: zod.number(), headerTimeout: durationSchema, idleTimeout: durationSchema })
+  limits: zod.object({ headerBytes: zod.number(), bodyBytes: zod.number(), headerTimeout: durationSchema, idleTimeout: durationSchema }),
+  features: zod.object({ placesByCost: zod.boolean(), sharesFairly: zod.boolean(), admitsByDependencies: zod.boolean() })
 })
 
 const resultSchema = zod.object({
--- a/packages/proxy/tests/support/samples.ts
+++ b/packages/proxy/tests/support/samples.ts
@@ -21,7 +21,8 @@
 export function configuration (overrides: Partial<Routes.RouteConfiguration>): Routes.RouteConfiguration {
   return {
     version: Decisions.Ids.version(1), checksum: '0', routes: [route({})], accounts: undefined,
-    limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeout: Decisions.Clock.seconds(3), idleTimeout: Decisions.Clock.seconds(15) }, ...overrides
+    limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeout: Decisions.Clock.seconds(3), idleTimeout: Decisions.Clock.seconds(15) },
+    features: { placesByCost: false, sharesFairly: false, admitsByDependencies: false }, ...overrides
   }
 }
 
