feat(proxy): calls wait for a target until their deadline

Cause: a call was given up after two late refusals or after three quarters of its latency objective (0.65 s of a timeout of 2.1 s), and hosts refused it behind a queue that would have met its deadline. Its parent then failed after it had cost work on two services.

Change: with features.admitsByDependencies, a request without a key waits for a target until its deadline, is offered to up to 8 hosts that refuse it as too late (48 of any reason, with a pause of 40 ms after each round), and states its deadline as its objective towards hosts. The retry budget and the number of executions are unchanged.

--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -47,6 +47,12 @@
 const REFUSALS_MAXIMUM = 24
 /** Hosts that may refuse because the request cannot finish in time; under a lasting overload all queues are about equally long. */
 const LATE_REFUSALS_MAXIMUM = 2
+/** The same for requests that wait until their deadline: each target of a small service once, and two of them again. */
+const LATE_REFUSALS_MAXIMUM_OF_WAITING = 8
+/** Refusals after which a request that waits until its deadline fails. */
+const REFUSALS_MAXIMUM_OF_WAITING = 48
+/** Pause of a request that waits until its deadline after all targets have refused it; a slot becomes free about as often. */
+const WAITING_PAUSE_MS = 40
 /** Share of the latency objective for which a request waits for an available target; a later response would miss the objective. */
 const TARGET_WAIT_RATIO = 0.75
 /** Interval at which the choice is repeated while no target is available. */
@@ -247,11 +253,18 @@
     if (reason === 'target-closed') this.trippedRefusals += 1
     if (reason === 'too-late') this.lateRefusals += 1
     if (reason === 'request-blocked') this.dependencies.quarantine.recordBlock(this.request, retryAfter)
-    const isFutile = this.isExpired || reason === 'request-blocked' || this.refusals >= REFUSALS_MAXIMUM || this.lateRefusals >= LATE_REFUSALS_MAXIMUM
+    const isFutile = this.isExpired || reason === 'request-blocked' || this.hasTooManyRefusals()
     if (isFutile || !this.mayExecute()) this.giveUp(this.lastRefusal)
     else if (this.unconfirmed().length === 0) this.startAttempt()
   }
 
+  private hasTooManyRefusals (): boolean {
+    const { refusals, lateRefusals, request: { waitsUntilDeadline } } = this
+    return waitsUntilDeadline === true
+      ? refusals >= REFUSALS_MAXIMUM_OF_WAITING || lateRefusals >= LATE_REFUSALS_MAXIMUM_OF_WAITING
+      : refusals >= REFUSALS_MAXIMUM || lateRefusals >= LATE_REFUSALS_MAXIMUM
+  }
+
   /** Corrects the counts after a confirmed attempt that was refused and so did not run. */
   private revertExecution (reason: HostedRequests.RefusalReason): void {
     this.executions -= 1
@@ -260,10 +273,11 @@
     this.hasRetryToken = this.deliveries > 0
   }
 
-  /** Waits for an available target, since probe delays are short, and refuses the request after `TARGET_WAIT_RATIO`. */
+  /** Waits for an available target, since probe delays are short, and refuses the request after `TARGET_WAIT_RATIO` or at its deadline. */
   private handleNoTarget (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): void {
     const timeUntilAvailable = this.dependencies.targetSelector.timeUntilAvailable(candidates, now) ?? RETRY_AFTER_DEFAULT_MS
-    const waitLimit = this.request.arrivedAt + TARGET_WAIT_RATIO * this.request.route.latencyObjective
+    const { waitsUntilDeadline, deadline, arrivedAt, route } = this.request
+    const waitLimit = waitsUntilDeadline === true ? deadline : arrivedAt + TARGET_WAIT_RATIO * route.latencyObjective
     if (this.activeAttempts.size > 0) return
     if (now >= waitLimit) {
       this.giveUp(this.lastRefusal ?? { kind: 'not-run', reason: 'no-target', retryAfter: Math.max(timeUntilAvailable, RETRY_AFTER_DEFAULT_MS) })
@@ -272,7 +286,7 @@
     // Targets that have refused the request may be available again.
     this.excluded.clear()
     for (const target of this.executionTargets) this.excluded.add(target)
-    this.schedule(Math.min(Math.max(timeUntilAvailable, 1), SELECTION_INTERVAL_MAXIMUM_MS), () => { this.startAttempt() })
+    this.schedule(Math.min(Math.max(timeUntilAvailable, waitsUntilDeadline === true ? WAITING_PAUSE_MS : 1), SELECTION_INTERVAL_MAXIMUM_MS), () => { this.startAttempt() })
   }
 
   /** Ends the request with an earlier error or with `answer`, unless another attempt is active. */
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -192,6 +192,8 @@
       priority: account?.priority ?? route.priority,
       // Callers send a key whenever the configuration has accounts; backend servers send none.
       isCall: isAnonymous,
+      // A parent fails with a call that is refused, after work that is lost then.
+      waitsUntilDeadline: isAnonymous && this.dependencies.configuration.current?.features.admitsByDependencies === true,
       arrivedAt,
       deadline,
       tryEndConnection: () => connection.tryEndWith(inbound)
--- a/packages/proxy/src/entry/request.ts
+++ b/packages/proxy/src/entry/request.ts
@@ -1,5 +1,5 @@
 /** A caller's request at its entry node, with the route and the service chosen for it. */
-import type * as Decisions from '@jasminedale/decisions'
+import * as Decisions from '@jasminedale/decisions'
 import type * as Routes from '../routes/route.js'
 
 export interface EntryRequest {
@@ -17,6 +17,8 @@
   readonly priority: number
   /** Whether a backend server sent it while it ran another request, which fails without it. */
   readonly isCall: boolean
+  /** Whether a late response has its full value, as for calls: the request waits for a target until its deadline and not only for its latency objective. */
+  readonly waitsUntilDeadline?: boolean
   readonly arrivedAt: Decisions.Clock.Milliseconds
   /** The caller's deadline or the route's timeout, whichever is earlier. */
   readonly deadline: Decisions.Clock.Milliseconds
@@ -26,3 +28,8 @@
    */
   readonly tryEndConnection: () => boolean
 }
+
+/** Time after which a response is worth less to the caller. */
+export function objectiveDeadline ({ waitsUntilDeadline, arrivedAt, deadline, route }: EntryRequest): Decisions.Clock.Milliseconds {
+  return waitsUntilDeadline === true ? deadline : Decisions.Clock.add(arrivedAt, route.latencyObjective)
+}
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -10,7 +10,7 @@
 import type * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
-import type * as Requests from './request.js'
+import * as Requests from './request.js'
 import type * as HostViews from './host-views.js'
 import type * as TargetSelectors from './target-selector.js'
 
@@ -99,7 +99,7 @@
       priority: request.priority,
       deadline: request.deadline,
       latencyObjective: request.route.latencyObjective,
-      objectiveDeadline: Decisions.Clock.add(request.arrivedAt, request.route.latencyObjective),
+      objectiveDeadline: Requests.objectiveDeadline(request),
       mayQueue,
       mayBypassBreaker,
       onQueued: () => { state.isQueued = true },
@@ -122,7 +122,7 @@
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const fields = Forwarding.formatMetadata({
       target, remaining, latencyObjective: request.route.latencyObjective,
-      objectiveRemaining: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.priority,
+      objectiveRemaining: Decisions.Clock.milliseconds(Math.max(0, Requests.objectiveDeadline(request) - clock.now())), priority: request.priority,
       repeatable: request.route.repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService,
       route: request.route.name, account: request.account, isCall: request.isCall
     })
