feat(proxy): admit parents by the room of the services that they call

Change: with features.admitsByDependencies, reports of hosts carry the fraction of calls that fits, and calls the fraction by which their sender admits parents, both as trailing key=value fields that earlier versions ignore. A host refuses a parent that is beyond the fraction as dependency-full before it takes a slot; the entry answers 503 with Retry-After and tries no other host. Calls, and parents that wait or run, are never refused for this. Without the feature nothing is learned, reported or refused.

--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -35,6 +35,8 @@
 const SERVER_ERROR = 500
 /** Refusals by the target itself. The request reached it, so each counts as a delivery, which the retry budget bounds. */
 const REFUSED_BY_TARGET: ReadonlySet<HostedRequests.RefusalReason> = new Set<HostedRequests.RefusalReason>(['target-shed', 'target-changed'])
+/** Refusals that the other hosts of the service would repeat. */
+const FINAL_REFUSALS: ReadonlySet<HostedRequests.RefusalReason> = new Set<HostedRequests.RefusalReason>(['request-blocked', 'dependency-full'])
 /** Share of the latency objective after which a hedged request is sent for a silent attempt; the rest is left for the hedged request to run. */
 const HEDGE_DELAY_RATIO = 0.5
 /** Hosts that may hold an unconfirmed attempt at the same time; only the first to confirm gets the request. */
@@ -253,7 +255,7 @@
     if (reason === 'target-closed') this.trippedRefusals += 1
     if (reason === 'too-late') this.lateRefusals += 1
     if (reason === 'request-blocked') this.dependencies.quarantine.recordBlock(this.request, retryAfter)
-    const isFutile = this.isExpired || reason === 'request-blocked' || this.hasTooManyRefusals()
+    const isFutile = this.isExpired || FINAL_REFUSALS.has(reason) || this.hasTooManyRefusals()
     if (isFutile || !this.mayExecute()) this.giveUp(this.lastRefusal)
     else if (this.unconfirmed().length === 0) this.startAttempt()
   }
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -5,6 +5,7 @@
 import type * as Accounts from '../accounts/account.js'
 import * as Authentications from '../accounts/authentication.js'
 import * as Forwarding from '../host/forwarding.js'
+import type * as DependencyControls from '../dependencies/dependency-control.js'
 import type * as Hosts from '../host/host.js'
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
@@ -52,6 +53,7 @@
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
+  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'recordCall'>
   readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock' | 'blockedFor'>
   readonly settings: Pick<Settings.ProxySettings, 'service' | 'revocation'>
 }
@@ -259,6 +261,7 @@
   }
 
   private async dispatch (inbound: InboundRequests.InboundRequest, entry: Requests.EntryRequest): Promise<void> {
+    if (entry.isCall) this.dependencies.dependencyControl.recordCall(entry.service)
     const dispatch = new Dispatches.Dispatch(entry, this.dependencies)
     const ignoreClose = this.connections.of(inbound.request.socket).whenClosed(() => { dispatch.abandon() })
     const answer = await dispatch.answer
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -1,5 +1,6 @@
 /** Sends one attempt to its target, directly if it is the local one and otherwise through the target's host. */
 import * as Decisions from '@jasminedale/decisions'
+import type * as DependencyControls from '../dependencies/dependency-control.js'
 import type * as Directories from '../directory/directory.js'
 import type * as Registrations from '../directory/registration.js'
 import * as Forwarding from '../host/forwarding.js'
@@ -40,6 +41,7 @@
   readonly dialect: Dialects.Dialect
   readonly log: Logs.Log
   readonly connections: ConnectionPools.ConnectionPool
+  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'senderFraction'>
   /** Called with the configuration version in force on another node. */
   readonly onVersionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
 }
@@ -94,6 +96,7 @@
       route: request.route.name,
       account: request.account,
       isCall: request.isCall,
+      ...this.senderFraction(request),
       repeatable: request.route.repeatable,
       mayBeProbe,
       priority: request.priority,
@@ -124,7 +127,7 @@
       target, remaining, latencyObjective: request.route.latencyObjective,
       objectiveRemaining: Decisions.Clock.milliseconds(Math.max(0, Requests.objectiveDeadline(request) - clock.now())), priority: request.priority,
       repeatable: request.route.repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService,
-      route: request.route.name, account: request.account, isCall: request.isCall
+      route: request.route.name, account: request.account, isCall: request.isCall, ...this.senderFraction(request)
     })
     const exchange = new Exchanges.Exchange({
       address: registration.host,
@@ -156,6 +159,12 @@
     }
   }
 
+  /** What a call states about the parents that this node admits. */
+  private senderFraction ({ isCall, service }: Requests.EntryRequest): { readonly senderFraction?: number } {
+    const senderFraction = isCall ? this.dependencies.dependencyControl.senderFraction(service) : 1
+    return senderFraction < 1 ? { senderFraction } : {}
+  }
+
   private outcomeOf (request: Requests.EntryRequest, registration: Registrations.Registration, result: Exchanges.ExchangeResult): HostedRequests.Outcome {
     const { target, host } = registration
     const { clock, views, log, onVersionSeen } = this.dependencies
--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -4,8 +4,9 @@
 import type * as Exchanges from '../transport/exchange.js'
 import * as HostReports from './host-report.js'
 import * as HostedRequests from './hosted-request.js'
+import * as TrailingFields from './trailing-field.js'
 
-/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1, names percent-encoded. Further fields are ignored. */
+/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1, names percent-encoded, `senderFraction` as a trailing `fraction=`. Further fields are ignored. */
 const METADATA_HEADER = 'jasminedale-work'
 /** The host's report. */
 const REPORT_HEADER = 'jasminedale-host'
@@ -21,6 +22,9 @@
 export const INTERNAL_HEADERS: ReadonlySet<string> = new Set([METADATA_HEADER, REPORT_HEADER, REFUSED_HEADER, FAILED_HEADER, UNFRAMED_HEADER, 'content-length'])
 
 const FIELD_COUNT = 13
+const SENDER_FRACTION = 'fraction'
+/** Digits of a fraction. */
+const FRACTION_DIGITS = 3
 /** Encodes an absent account. */
 const NO_ACCOUNT = '-'
 const STATUS_REFUSED = 503
@@ -46,6 +50,7 @@
   readonly route: string
   readonly account: Decisions.Ids.Account | undefined
   readonly isCall: boolean
+  readonly senderFraction?: number
 }
 
 export function formatMetadata (metadata: RequestMetadata): string[] {
@@ -54,7 +59,8 @@
     Number(metadata.repeatable), Number(metadata.mayBeProbe), Number(metadata.mayQueue), Number(metadata.mayBypassBreaker), metadata.callerService,
     encodeURIComponent(metadata.route), metadata.account === undefined ? NO_ACCOUNT : `=${encodeURIComponent(metadata.account)}`, Number(metadata.isCall)
   ]
-  return [METADATA_HEADER, fields.join(' ')]
+  const trailing = metadata.senderFraction === undefined ? [] : [`${SENDER_FRACTION}=${metadata.senderFraction.toFixed(FRACTION_DIGITS)}`]
+  return [METADATA_HEADER, [...fields, ...trailing].join(' ')]
 }
 
 /** Undefined when the request was not forwarded by a node or its metadata is not valid. */
@@ -64,6 +70,7 @@
   if (fields.length < FIELD_COUNT || target === undefined || callerService === undefined || route === undefined || account === undefined) return undefined
   const numbers = [remaining, objective, objectiveRemaining, priority].map(Number)
   if (!numbers.every(Number.isFinite)) return undefined
+  const senderFraction = TrailingFields.readPositive(fields.slice(FIELD_COUNT), SENDER_FRACTION)
   return {
     target: Decisions.Ids.targetId(target),
     remaining: Decisions.Clock.milliseconds(Number(remaining)),
@@ -77,7 +84,8 @@
     callerService: Decisions.Ids.service(callerService),
     route: decode(route),
     account: account === NO_ACCOUNT ? undefined : Decisions.Ids.account(decode(account.slice(1))),
-    isCall: isCall === '1'
+    isCall: isCall === '1',
+    ...(senderFraction === undefined ? {} : { senderFraction })
   }
 }
 
--- a/packages/proxy/src/host/host-report.ts
+++ b/packages/proxy/src/host/host-report.ts
@@ -1,5 +1,6 @@
 /** Load and health that a host reports with each response to another node, and in datagrams when its circuit breaker changes. */
 import * as Decisions from '@jasminedale/decisions'
+import * as TrailingFields from './trailing-field.js'
 
 export interface HostReport {
   /** Requests that hold a slot. */
@@ -20,6 +21,8 @@
    * data centers, which get no datagrams from there. Undefined when the report makes no statement about them.
    */
   readonly trippedNearby?: readonly Decisions.Ids.TargetId[]
+  /** Fraction of the calls for which the target has room, above 1 with room to spare; undefined means 1. */
+  readonly admissionFraction?: number
 }
 
 const FIELD_COUNT = 7
@@ -27,19 +30,25 @@
 const NOT_TRIPPED = -1
 /** Encodes an empty list, since trailing white space of a header value is lost. */
 const EMPTY_LIST = '-'
+const ADMISSION_FRACTION = 'fraction'
+/** Digits of a fraction. */
+const FRACTION_DIGITS = 3
 
-/** Fields separated by spaces, in fixed order; lists by commas. */
+/** Fields separated by spaces, in fixed order, and then those of the form `key=value`; lists by commas. */
 export function format (report: HostReport): string {
-  const { running, queued, slots, timeUntilProbe, failures, serviceTime, version, trippedNearby } = report
+  const { running, queued, slots, timeUntilProbe, failures, serviceTime, version, trippedNearby, admissionFraction } = report
   const fields = [running, queued, slots, Math.ceil(timeUntilProbe ?? NOT_TRIPPED), failures, Math.round(serviceTime), version]
-  return [...fields, ...trippedNearby === undefined ? [] : [trippedNearby.length === 0 ? EMPTY_LIST : trippedNearby.join(',')]].join(' ')
+  const neighbours = trippedNearby === undefined ? [] : [trippedNearby.length === 0 ? EMPTY_LIST : trippedNearby.join(',')]
+  const trailing = admissionFraction === undefined ? [] : [`${ADMISSION_FRACTION}=${admissionFraction.toFixed(FRACTION_DIGITS)}`]
+  return [...fields, ...neighbours, ...trailing].join(' ')
 }
 
 /** Undefined when the text is not a valid report. */
 export function parse (text: string | undefined): HostReport | undefined {
   const parts = text?.split(' ') ?? []
   const fields = parts.slice(0, FIELD_COUNT).map(Number)
-  const trippedNearby = parts[FIELD_COUNT]
+  const [trippedNearby] = parts.slice(FIELD_COUNT, FIELD_COUNT + 1).filter(part => !TrailingFields.isTrailing(part))
+  const admissionFraction = TrailingFields.readPositive(parts, ADMISSION_FRACTION)
   const [running, queued, slots, timeUntilProbe, failures, serviceTime, version] = fields
   if (fields.length !== FIELD_COUNT || !fields.every(Number.isFinite)) return undefined
   if (running === undefined || queued === undefined || slots === undefined || timeUntilProbe === undefined) return undefined
@@ -52,6 +61,7 @@
     failures,
     serviceTime: Decisions.Clock.milliseconds(serviceTime),
     version: Decisions.Ids.version(version),
-    ...(trippedNearby === undefined ? {} : { trippedNearby: trippedNearby === EMPTY_LIST ? [] : trippedNearby.split(',').map(Decisions.Ids.targetId) })
+    ...(trippedNearby === undefined ? {} : { trippedNearby: trippedNearby === EMPTY_LIST ? [] : trippedNearby.split(',').map(Decisions.Ids.targetId) }),
+    ...(admissionFraction === undefined ? {} : { admissionFraction })
   }
 }
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -75,6 +75,7 @@
       route: metadata.route,
       account: metadata.account,
       isCall: metadata.isCall,
+      ...(metadata.senderFraction === undefined ? {} : { senderFraction: metadata.senderFraction }),
       repeatable: metadata.repeatable,
       mayBeProbe: metadata.mayBeProbe,
       priority: metadata.priority,
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -1,5 +1,6 @@
 /** Runs requests on the local target, within its slots and behind its circuit breaker. All requests to the target pass through here. */
 import * as Decisions from '@jasminedale/decisions'
+import type * as DependencyControls from '../dependencies/dependency-control.js'
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
@@ -13,6 +14,7 @@
 import * as CircuitBreakers from './circuit-breaker.js'
 import type * as HostReports from './host-report.js'
 import type * as LocalTargets from './local-target.js'
+import * as SlotAcquisitions from './slot-acquisition.js'
 import * as TargetCapacities from './target-capacity.js'
 import * as HostedRequests from './hosted-request.js'
 
@@ -51,6 +53,8 @@
   readonly onBreakerChanged: (target: Decisions.Ids.TargetId, report: HostReports.HostReport) => void
   /** Called with each response in which the target states that it is leaving. */
   readonly onTargetLeaving: (target: Decisions.Ids.TargetId) => void
+  /** Without it requests are admitted whether or not the services that they call have room. */
+  readonly dependencyControl?: Pick<DependencyControls.DependencyControl, 'check' | 'recordStart' | 'recordOffer' | 'recordWaiting' | 'resetTarget' | 'fraction' | 'isEnabled'>
 }
 
 export class Host {
@@ -77,6 +81,7 @@
   resetTarget (slots: number): void {
     this.circuitBreaker.reset()
     this.capacity.reset(slots)
+    this.dependencies.dependencyControl?.resetTarget()
   }
 
   /** Records that a request from this VM to another service failed. It may have been a call of the local target. */
@@ -96,6 +101,7 @@
 
   report (): HostReports.HostReport {
     const now = this.dependencies.clock.now()
+    const admissionFraction = this.dependencies.dependencyControl?.fraction({ slots: this.capacity.slotCount, rate: this.capacity.rate })
     return {
       running: this.capacity.running,
       queued: this.capacity.queued,
@@ -103,15 +109,16 @@
       timeUntilProbe: this.circuitBreaker.timeUntilProbe(now),
       failures: this.circuitBreaker.failures,
       serviceTime: this.capacity.serviceTime.mean,
-      version: this.dependencies.version()
+      version: this.dependencies.version(),
+      ...(admissionFraction === undefined ? {} : { admissionFraction })
     }
   }
 
   /** Runs the request, or refuses it if the target cannot take it. */
   async run (request: HostedRequests.HostedRequest): Promise<HostedRequests.Outcome> {
-    const admission = this.admit(request)
+    const admission = this.checkDependencies(request) ?? this.admit(request)
     if (typeof admission !== 'string') return this.reportRefusal(request, admission)
-    const slotResult = await this.capacity.acquire(request)
+    const slotResult = await SlotAcquisitions.acquire(this.capacity, request, this.dependencies.dependencyControl)
     if (slotResult !== 'started') {
       this.circuitBreaker.recordInconclusive(admission)
       return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed)))
@@ -127,6 +134,13 @@
     }
   }
 
+  /** The refusal if a service that the route calls has no room. A target that takes no requests refuses for that reason. */
+  private checkDependencies (request: HostedRequests.HostedRequest): HostedRequests.Outcome | undefined {
+    if (this.checkAvailability(request) !== undefined) return undefined
+    const refusal = this.dependencies.dependencyControl?.check(request)
+    return refusal === undefined ? undefined : HostedRequests.refusal('dependency-full', refusal.retryAfter)
+  }
+
   /** How the circuit breaker admits the request, or the refusal. */
   private admit (request: HostedRequests.HostedRequest): CircuitBreakers.Admission | HostedRequests.Outcome {
     const refusal = this.checkAvailability(request)
@@ -159,6 +173,7 @@
   private async runInSlot (request: HostedRequests.HostedRequest, body: Buffer, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
     const startedAt = this.dependencies.clock.now()
     const exchange = this.send(request, body, startedAt)
+    const recordEnd = this.dependencies.dependencyControl?.recordStart(request)
     const state = { isWithdrawn: false }
     request.onWithdrawn(() => {
       state.isWithdrawn = true
@@ -169,6 +184,7 @@
     clearTimeout(silenceTimer)
     const elapsed = Decisions.Clock.between(startedAt, this.dependencies.clock.now())
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
+    recordEnd?.(outcome.kind !== 'refused')
     this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
     this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(result))
     return outcome
--- a/packages/proxy/src/host/hosted-request.ts
+++ b/packages/proxy/src/host/hosted-request.ts
@@ -20,6 +20,8 @@
   readonly account: Decisions.Ids.Account | undefined
   /** Whether a backend server sent it while it ran another request, which fails without it. */
   readonly isCall: boolean
+  /** Fraction of the parents that the sender of a call admits; undefined means 1. */
+  readonly senderFraction?: number
   /** Priority under overload; 0 is the most urgent. */
   readonly priority: number
   readonly deadline: Decisions.Clock.Milliseconds
@@ -42,11 +44,11 @@
 export type RefusalReason =
   | 'node-starting' | 'node-leaving'
   | 'target-unknown' | 'target-leaving' | 'target-closed' | 'target-busy' | 'target-limited' | 'target-shed' | 'target-changed' | 'target-unreachable'
-  | 'too-late' | 'host-unreachable' | 'no-target' | 'request-blocked'
+  | 'too-late' | 'host-unreachable' | 'no-target' | 'request-blocked' | 'dependency-full'
 
 const REFUSAL_REASONS: ReadonlySet<string> = new Set<RefusalReason>([
   'node-starting', 'node-leaving', 'target-unknown', 'target-leaving', 'target-closed', 'target-busy', 'target-limited', 'target-shed',
-  'target-changed', 'target-unreachable', 'too-late', 'host-unreachable', 'no-target', 'request-blocked'
+  'target-changed', 'target-unreachable', 'too-late', 'host-unreachable', 'no-target', 'request-blocked', 'dependency-full'
 ])
 
 /** Reasons for which it is unknown whether a request ran. */
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -36,6 +36,14 @@
     name: 'jasminedale_host_refusals_total', help: 'Requests that this host refused without running them.', labelNames: ['reason'], registers: [this.registry]
   })
 
+  private readonly dependencyRefusals = new Prometheus.Counter({
+    name: 'jasminedale_dependency_refusals_total', help: 'Requests that this host refused because a service that their route calls is full.', labelNames: ['route', 'service'], registers: [this.registry]
+  })
+
+  private readonly admissionFraction = new Prometheus.Gauge({
+    name: 'jasminedale_admission_fraction', help: 'Fraction of the calls for which the local target has room; 1 when it has room for all.', registers: [this.registry]
+  })
+
   private readonly targetLimit = new Prometheus.Gauge({
     name: 'jasminedale_target_limit_per_second', help: 'Requests per second that the local target takes, as it states; infinite without a limit.', registers: [this.registry]
   })
@@ -57,6 +65,10 @@
     name: 'jasminedale_in_force_seconds', help: 'Time since the configuration or the settings came into force on this node.', labelNames: ['part'], registers: [this.registry]
   })
 
+  constructor () {
+    this.admissionFraction.set(1)
+  }
+
   recordRequest (service: string, outcome: string, elapsed: number): void {
     this.requests.observe({ service, outcome }, elapsed / MILLISECONDS_PER_SECOND)
   }
@@ -77,6 +89,14 @@
     this.hostRefusals.inc({ reason })
   }
 
+  recordDependencyRefusal (route: string, service: string): void {
+    this.dependencyRefusals.inc({ route, service })
+  }
+
+  setAdmissionFraction (fraction: number): void {
+    this.admissionFraction.set(fraction)
+  }
+
   /** Sets the limit that the local target states, in requests per second; undefined without a limit. */
   setTargetLimit (limit: number | undefined): void {
     this.targetLimit.set(limit ?? Infinity)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -2,6 +2,7 @@
 import * as Decisions from '@jasminedale/decisions'
 import * as Awilix from 'awilix'
 import * as Delays from './delay.js'
+import * as DependencyControls from './dependencies/dependency-control.js'
 import * as Directories from './directory/directory.js'
 import * as Gateways from './entry/gateway.js'
 import * as HostViews from './entry/host-views.js'
@@ -57,6 +58,7 @@
   readonly nodeRpc: NodeRpcs.NodeRpc
   readonly sharedLog: RelayedLogs.RelayedLog
   readonly quarantine: Quarantines.Quarantine
+  readonly dependencyControl: DependencyControls.DependencyControl
   readonly host: Hosts.Host
   readonly reportChannel: ReportChannels.ReportChannel
   readonly hostServer: HostServers.HostServer
@@ -202,8 +204,9 @@
     nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
     nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
     quarantine: Awilix.asClass(Quarantines.Quarantine).singleton(),
+    dependencyControl: Awilix.asClass(DependencyControls.DependencyControl).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
-      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine,
+      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine, dependencyControl: cradle.dependencyControl,
       targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
       onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) },
       onTargetLeaving: target => { void cradle.membership.recordLeaving(target) }
@@ -214,7 +217,7 @@
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
       clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
-      connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
+      connections: cradle.connections, dependencyControl: cradle.dependencyControl, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
     gateway: Awilix.asClass(Gateways.Gateway).singleton(),
--- a/packages/proxy/tests/entry/call-dispatch.test.ts
+++ b/packages/proxy/tests/entry/call-dispatch.test.ts
@@ -77,3 +77,18 @@
   const direct = entryRequest({ waitsUntilDeadline: false })
   assert.equal(Requests.objectiveDeadline(direct), direct.arrivedAt + direct.route.latencyObjective)
 })
+
+// Guards against parents that are offered to one host after the other while the service that they call is full: each would thin them again.
+test('request is not sent to another host when a service that its route calls is full', async () => {
+  const sender = new ScriptedSenders.ScriptedSender(() => HostedRequests.refusal('dependency-full', 1_700))
+  const answer = await dispatch(sender, { isCall: false, waitsUntilDeadline: false, route: Samples.route({}) }).answer
+  assert.deepEqual(answer, { kind: 'not-run', reason: 'dependency-full', retryAfter: 1_700 })
+  assert.equal(sender.sent.length, 1)
+})
+
+// Guards against a refusal that hides an attempt which may have run: the answer must not say that the request has not run.
+test('refusal of a retry by a full dependency does not replace the outcome of the first attempt', async () => {
+  const sender = new ScriptedSenders.ScriptedSender((_target, attempt) => attempt === 1 ? { kind: 'failed', reason: 'connection-lost', detail: '' } : HostedRequests.refusal('dependency-full', 1_700))
+  assert.equal((await dispatch(sender, { isCall: false, waitsUntilDeadline: false, route: Samples.route({}) }).answer).kind, 'unknown')
+  assert.equal(sender.sent.length, 2)
+})
