feat(proxy): recognize calls without client accounts

Cause: where no request carries a key, calls of backend servers cannot be told from requests of callers, so nothing was counted or protected.

Change: hosts keep for each route from which service's VMs its requests come. The host states it in a trailing field of its report; entries remember it for 10 s.

--- a/packages/proxy/src/dependencies/dependency-control.ts
+++ b/packages/proxy/src/dependencies/dependency-control.ts
@@ -1,5 +1,6 @@
 /** Admission by the services that the local target calls: the state that the host, the entry and the sender of this node share. */
 import type * as Decisions from '@jasminedale/decisions'
+import * as LruCache from 'lru-cache'
 import type * as Directories from '../directory/directory.js'
 import type * as HostViews from '../entry/host-views.js'
 import type * as Logs from '../observation/log.js'
@@ -9,8 +10,12 @@
 import * as CallRates from './call-rates.js'
 import * as FractionTables from './fraction-table.js'
 import * as ParentAdmissions from './parent-admission.js'
+import * as RouteCallers from './route-callers.js'
 import type * as ServiceFractions from './service-fraction.js'
 
+/** Time in ms for which an entry takes the requests of a route as calls after a host stated so; some calls of one target. */
+const CALL_ROUTE_LIFETIME_MS = 10_000
+const CALL_ROUTES_MAXIMUM = 512
 /** Shortest time in ms between two log lines of one kind. */
 const LOG_INTERVAL_MS = 1_000
 /** Change of the fraction that is logged. */
@@ -19,7 +24,7 @@
 export interface DependencyControlDependencies {
   readonly clock: Decisions.Clock.Clock
   readonly configuration: Pick<ConfigurationStates.ConfigurationState, 'current'>
-  readonly directory: Pick<Directories.Directory, 'readyTargets'>
+  readonly directory: Pick<Directories.Directory, 'readyTargets' | 'readyCount'>
   readonly views: Pick<HostViews.HostViews, 'of'>
   readonly log: Logs.Log
   readonly metrics: Pick<Metrics.Metrics, 'recordDependencyRefusal' | 'setAdmissionFraction'>
@@ -38,6 +43,12 @@
   private readonly demand = new AdmissionFractions.AdmissionFraction()
   private readonly fractions = new FractionTables.FractionTable((service, now) => this.reportsOf(service, now))
   private readonly admission = new ParentAdmissions.ParentAdmission(this.rates)
+  private readonly callers = new RouteCallers.RouteCallers()
+  /** When hosts last stated that a route consists of calls. */
+  private readonly callRoutes = new LruCache.LRUCache<string, Decisions.Clock.Milliseconds>({ max: CALL_ROUTES_MAXIMUM })
+  /** Routes that this host has last recognized as calls. */
+  private readonly loggedRoutes = new LruCache.LRUCache<string, Decisions.Ids.Service>({ max: CALL_ROUTES_MAXIMUM })
+  private routeLoggedAt = -LOG_INTERVAL_MS
   private loggedFraction = 1
   private fractionLoggedAt = -LOG_INTERVAL_MS
   private refusalLoggedAt = -LOG_INTERVAL_MS
@@ -107,6 +118,36 @@
     return this.isEnabled && this.rates.isCalled(service) ? this.fractions.lagged(service, this.dependencies.clock.now()) : 1
   }
 
+  /** Records at the host from which service's VM a request of a route comes. Only without client accounts, whose keys tell calls from other requests. */
+  recordCaller ({ route, callerService }: { readonly route: string, readonly callerService: Decisions.Ids.Service }): void {
+    if (this.recognizesCalls) this.callers.record(route, callerService, this.dependencies.clock.now())
+  }
+
+  /** Whether all requests of a route at this host are calls of the targets of one service. */
+  consistsOfCalls (route: string): boolean {
+    if (!this.recognizesCalls) return false
+    const { directory, clock } = this.dependencies
+    const now = clock.now()
+    const caller = this.callers.callerOf(route, service => ({ ofService: directory.readyTargets(service).length, total: directory.readyCount }), now)
+    this.reportRoute(route, caller, now)
+    return caller !== undefined
+  }
+
+  /** Records at the entry that a host states that a route consists of calls. */
+  recordCallRoute (route: string): void {
+    this.callRoutes.set(route, this.dependencies.clock.now())
+  }
+
+  /** Whether requests of the route at this entry are calls, as hosts have stated lately. */
+  isCallRoute (route: string): boolean {
+    const statedAt = this.callRoutes.get(route)
+    return statedAt !== undefined && this.recognizesCalls && this.dependencies.clock.now() - statedAt <= CALL_ROUTE_LIFETIME_MS
+  }
+
+  private get recognizesCalls (): boolean {
+    return this.isEnabled && this.dependencies.configuration.current?.accounts === undefined
+  }
+
   private* reportsOf (service: Decisions.Ids.Service, now: Decisions.Clock.Milliseconds): Iterable<ServiceFractions.FractionReport> {
     const { directory, views } = this.dependencies
     for (const { target, slots } of directory.readyTargets(service)) {
@@ -126,6 +167,14 @@
     this.unloggedRefusals = 0
   }
 
+  private reportRoute (route: string, service: Decisions.Ids.Service | undefined, now: Decisions.Clock.Milliseconds): void {
+    if (this.loggedRoutes.get(route) === service || now - this.routeLoggedAt < LOG_INTERVAL_MS) return
+    this.routeLoggedAt = now
+    if (service === undefined) this.loggedRoutes.delete(route)
+    else this.loggedRoutes.set(route, service)
+    this.dependencies.log.info(service === undefined ? 'route no longer recognized as calls' : 'route recognized as calls', { route, service })
+  }
+
   private reportFraction (fraction: number, now: Decisions.Clock.Milliseconds): void {
     this.dependencies.metrics.setAdmissionFraction(fraction)
     const change = Math.abs(fraction - this.loggedFraction)
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -53,7 +53,7 @@
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
-  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'recordCall'>
+  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'recordCall' | 'isCallRoute'>
   readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock' | 'blockedFor'>
   readonly settings: Pick<Settings.ProxySettings, 'service' | 'revocation'>
 }
@@ -182,6 +182,8 @@
     }
     if (route.destinations.length > 1) this.dependencies.metrics.recordSplit(route.name, service)
     const connection = this.connections.of(request.socket)
+    // Callers send a key whenever the configuration has accounts; backend servers send none.
+    const isCall = isAnonymous || this.dependencies.dependencyControl.isCallRoute(route.name)
     await this.dispatch(inbound, {
       id,
       method,
@@ -192,10 +194,9 @@
       service,
       account: account?.name,
       priority: account?.priority ?? route.priority,
-      // Callers send a key whenever the configuration has accounts; backend servers send none.
-      isCall: isAnonymous,
+      isCall,
       // A parent fails with a call that is refused, after work that is lost then.
-      waitsUntilDeadline: isAnonymous && this.dependencies.configuration.current?.features.admitsByDependencies === true,
+      waitsUntilDeadline: isCall && this.dependencies.configuration.current?.features.admitsByDependencies === true,
       arrivedAt,
       deadline,
       tryEndConnection: () => connection.tryEndWith(inbound)
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -41,7 +41,7 @@
   readonly dialect: Dialects.Dialect
   readonly log: Logs.Log
   readonly connections: ConnectionPools.ConnectionPool
-  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'senderFraction'>
+  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'senderFraction' | 'consistsOfCalls' | 'recordCallRoute'>
   /** Called with the configuration version in force on another node. */
   readonly onVersionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
 }
@@ -85,7 +85,7 @@
     const listeners: (() => void)[] = []
     const state = { isQueued: false }
     const { target } = registration
-    const { host, clock, views, callerService } = this.dependencies
+    const { host, clock, views, callerService, dependencyControl } = this.dependencies
     const outcome = host.run({
       id: request.id,
       target,
@@ -113,6 +113,7 @@
       onWithdrawn: listener => { listeners.push(listener) }
     }).then(hostOutcome => {
       views.recordResponse(target, host.report(), clock.now())
+      if (dependencyControl.consistsOfCalls(request.route.name)) dependencyControl.recordCallRoute(request.route.name)
       this.avoidUnavailableTarget(target, hostOutcome)
       return hostOutcome
     })
@@ -167,7 +168,7 @@
 
   private outcomeOf (request: Requests.EntryRequest, registration: Registrations.Registration, result: Exchanges.ExchangeResult): HostedRequests.Outcome {
     const { target, host } = registration
-    const { clock, views, log, onVersionSeen } = this.dependencies
+    const { clock, views, log, onVersionSeen, dependencyControl } = this.dependencies
     const now = clock.now()
     if (result.kind !== 'answered') log.info('host gave no response', { request: request.id, target, host, mayHaveRun: result.kind === 'lost', detail: result.reason })
     switch (result.kind) {
@@ -181,6 +182,7 @@
           views.recordResponse(target, report, now)
           this.recordNeighbours(registration, report, now)
           onVersionSeen(report.version, host)
+          if (report.isCallRoute === true) dependencyControl.recordCallRoute(request.route.name)
         }
         this.avoidUnavailableTarget(target, outcome)
         if (outcome.kind === 'answered') this.recordLeaving(registration, outcome.response)
--- a/packages/proxy/src/host/host-report.ts
+++ b/packages/proxy/src/host/host-report.ts
@@ -23,6 +23,8 @@
   readonly trippedNearby?: readonly Decisions.Ids.TargetId[]
   /** Fraction of the calls for which the target has room, above 1 with room to spare; undefined means 1. */
   readonly admissionFraction?: number
+  /** Whether the route of the request to which the report answers consists of calls from the service of its entry node. */
+  readonly isCallRoute?: true
 }
 
 const FIELD_COUNT = 7
@@ -31,15 +33,19 @@
 /** Encodes an empty list, since trailing white space of a header value is lost. */
 const EMPTY_LIST = '-'
 const ADMISSION_FRACTION = 'fraction'
+const CALL_ROUTE = 'calls'
 /** Digits of a fraction. */
 const FRACTION_DIGITS = 3
 
 /** Fields separated by spaces, in fixed order, and then those of the form `key=value`; lists by commas. */
 export function format (report: HostReport): string {
-  const { running, queued, slots, timeUntilProbe, failures, serviceTime, version, trippedNearby, admissionFraction } = report
+  const { running, queued, slots, timeUntilProbe, failures, serviceTime, version, trippedNearby, admissionFraction, isCallRoute } = report
   const fields = [running, queued, slots, Math.ceil(timeUntilProbe ?? NOT_TRIPPED), failures, Math.round(serviceTime), version]
   const neighbours = trippedNearby === undefined ? [] : [trippedNearby.length === 0 ? EMPTY_LIST : trippedNearby.join(',')]
-  const trailing = admissionFraction === undefined ? [] : [`${ADMISSION_FRACTION}=${admissionFraction.toFixed(FRACTION_DIGITS)}`]
+  const trailing = [
+    ...admissionFraction === undefined ? [] : [`${ADMISSION_FRACTION}=${admissionFraction.toFixed(FRACTION_DIGITS)}`],
+    ...isCallRoute === true ? [`${CALL_ROUTE}=1`] : []
+  ]
   return [...fields, ...neighbours, ...trailing].join(' ')
 }
 
@@ -62,6 +68,7 @@
     serviceTime: Decisions.Clock.milliseconds(serviceTime),
     version: Decisions.Ids.version(version),
     ...(trippedNearby === undefined ? {} : { trippedNearby: trippedNearby === EMPTY_LIST ? [] : trippedNearby.split(',').map(Decisions.Ids.targetId) }),
-    ...(admissionFraction === undefined ? {} : { admissionFraction })
+    ...(admissionFraction === undefined ? {} : { admissionFraction }),
+    ...(TrailingFields.read(parts, CALL_ROUTE) === '1' ? { isCallRoute: true as const } : {})
   }
 }
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -1,6 +1,7 @@
 /** HTTP handler for requests that other nodes forward to the local target. */
 import type * as Http from 'node:http'
 import * as Decisions from '@jasminedale/decisions'
+import type * as DependencyControls from '../dependencies/dependency-control.js'
 import type * as Directories from '../directory/directory.js'
 import * as HostViews from '../entry/host-views.js'
 import type * as Settings from '../settings.js'
@@ -18,6 +19,7 @@
   readonly clock: Decisions.Clock.Clock
   readonly dialect: Dialects.Dialect
   readonly host: Hosts.Host
+  readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'consistsOfCalls'>
   readonly directory: Directories.Directory
   readonly views: HostViews.HostViews
   readonly settings: Pick<Settings.ProxySettings, 'location' | 'service'>
@@ -43,13 +45,15 @@
     }
     this.openRequests += 1
     response.once('close', () => { this.openRequests -= 1 })
-    const { host } = this.dependencies
+    const { host, dependencyControl } = this.dependencies
     const outcome = host.run(this.toHostedRequest(request, response, metadata, async () => {
       response.writeContinue()
       const body = await Bodies.read(request, BODY_LIMIT_BYTES)
       return body.isOk() ? body.value : undefined
     }))
-    const { status, headers, body } = Forwarding.formatOutcome(await outcome, { ...host.report(), trippedNearby: this.trippedNearby() })
+    const { status, headers, body } = Forwarding.formatOutcome(await outcome, {
+      ...host.report(), trippedNearby: this.trippedNearby(), ...(dependencyControl.consistsOfCalls(metadata.route) ? { isCallRoute: true } : {})
+    })
     if (response.destroyed) return
     request.resume()
     response.writeHead(status, [...headers, 'Content-Length', String(body.length)])
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -54,7 +54,7 @@
   /** Called with each response in which the target states that it is leaving. */
   readonly onTargetLeaving: (target: Decisions.Ids.TargetId) => void
   /** Without it requests are admitted whether or not the services that they call have room. */
-  readonly dependencyControl?: Pick<DependencyControls.DependencyControl, 'check' | 'recordStart' | 'recordOffer' | 'recordWaiting' | 'resetTarget' | 'fraction' | 'isEnabled'>
+  readonly dependencyControl?: Pick<DependencyControls.DependencyControl, 'check' | 'recordCaller' | 'recordStart' | 'recordOffer' | 'recordWaiting' | 'resetTarget' | 'fraction' | 'isEnabled'>
 }
 
 export class Host {
@@ -137,6 +137,7 @@
   /** The refusal if a service that the route calls has no room. A target that takes no requests refuses for that reason. */
   private checkDependencies (request: HostedRequests.HostedRequest): HostedRequests.Outcome | undefined {
     if (this.checkAvailability(request) !== undefined) return undefined
+    this.dependencies.dependencyControl?.recordCaller(request)
     const refusal = this.dependencies.dependencyControl?.check(request)
     return refusal === undefined ? undefined : HostedRequests.refusal('dependency-full', refusal.retryAfter)
   }
--- a/packages/proxy/tests/dependencies/dependency-control.test.ts
+++ b/packages/proxy/tests/dependencies/dependency-control.test.ts
@@ -1,6 +1,7 @@
 import * as assert from 'node:assert/strict'
 import { test } from 'node:test'
 import * as Decisions from '@jasminedale/decisions'
+import type * as Accounts from '../../src/accounts/account.js'
 import * as DependencyControls from '../../src/dependencies/dependency-control.js'
 import * as Directories from '../../src/directory/directory.js'
 import * as HostViews from '../../src/entry/host-views.js'
@@ -31,12 +32,14 @@
   readonly log = new RecordingLog()
   readonly refusals: string[] = []
   features = { placesByCost: false, sharesFairly: false, admitsByDependencies: true }
+  accounts: readonly Accounts.Account[] | undefined
   readonly control: DependencyControls.DependencyControl
 
   constructor () {
     const directory = new Directories.Directory()
     for (const name of TARGETS) directory.merge(Samples.registration(name, { service: NARROW, slots: 8 }))
-    const configuration = (): ReturnType<typeof Samples.configuration> => Samples.configuration({ features: this.features })
+    for (const name of ['dddd', 'eeeee']) directory.merge(Samples.registration(name))
+    const configuration = (): ReturnType<typeof Samples.configuration> => Samples.configuration({ features: this.features, accounts: this.accounts })
     this.control = new DependencyControls.DependencyControl({
       clock: this.clock, directory, views: this.views, log: this.log, configuration: { get current () { return configuration() } },
       metrics: { recordDependencyRefusal: (route, service) => { this.refusals.push(`${route} ${service}`) }, setAdmissionFraction: () => { /* Not read. */ } }
@@ -141,3 +144,51 @@
   const changes = node.log.lines.filter(([message]) => message.startsWith('admission fraction'))
   assert.ok(changes.length >= 1 && changes.length <= 6, JSON.stringify(changes))
 })
+
+// Guards against calls that are not told from other requests where no request carries a key.
+test('without accounts a route whose requests come from one service is recognized as calls', () => {
+  const node = new Node()
+  const receive = (service: Decisions.Ids.Service): void => {
+    for (let index = 0; index < 40; index += 1) {
+      node.advance(200)
+      node.control.recordCaller({ route: 'stock', callerService: service })
+    }
+  }
+  assert.equal(node.control.consistsOfCalls('stock'), false)
+  receive(Samples.SERVICE)
+  assert.equal(node.control.consistsOfCalls('stock'), true)
+  node.control.recordCaller({ route: 'stock', callerService: NARROW })
+  assert.equal(node.control.consistsOfCalls('stock'), false)
+  receive(NARROW)
+  assert.equal(node.control.consistsOfCalls('stock'), true)
+  node.accounts = []
+  assert.equal(node.control.consistsOfCalls('stock'), false)
+  node.accounts = undefined
+  node.features = { ...node.features, admitsByDependencies: false }
+  assert.equal(node.control.consistsOfCalls('stock'), false)
+})
+
+// Guards against an entry that takes requests as calls long after no host has stated so.
+test('entry remembers for ten seconds that a route consists of calls', () => {
+  const node = new Node()
+  assert.equal(node.control.isCallRoute('stock'), false)
+  node.control.recordCallRoute('stock')
+  node.advance(9_000)
+  assert.equal(node.control.isCallRoute('stock'), true)
+  node.accounts = []
+  assert.equal(node.control.isCallRoute('stock'), false)
+  node.accounts = undefined
+  node.advance(1_100)
+  assert.equal(node.control.isCallRoute('stock'), false)
+})
+
+// Guards against a line for each request of a route whose recognition changes all the time.
+test('recognized routes are logged once', () => {
+  const node = new Node()
+  for (let index = 0; index < 100; index += 1) {
+    node.advance(200)
+    node.control.recordCaller({ route: 'stock', callerService: Samples.SERVICE })
+    node.control.consistsOfCalls('stock')
+  }
+  assert.deepEqual(node.log.lines, [['route recognized as calls', { route: 'stock', service: Samples.SERVICE }]])
+})
--- a/packages/proxy/tests/host/dependency-admission.test.ts
+++ b/packages/proxy/tests/host/dependency-admission.test.ts
@@ -33,6 +33,7 @@
 /** Control that refuses requests of one route, and records what the host tells it. */
 class ScriptedControl {
   readonly events: string[] = []
+  readonly callers: string[] = []
   readonly isEnabled = true
 
   check ({ route, isCall }: DependencyControls.ObservedRequest): ReturnType<DependencyControls.DependencyControl['check']> {
@@ -53,7 +54,12 @@
     return () => { this.events.push(`leave ${route}`) }
   }
 
-  resetTarget (): void { this.events.length = 0 }
+  recordCaller ({ route, callerService }: { readonly route: string, readonly callerService: Decisions.Ids.Service }): void { this.callers.push(`${route} ${callerService}`) }
+
+  resetTarget (): void {
+    this.events.length = 0
+    this.callers.length = 0
+  }
 
   fraction (): number { return 0.625 }
 }
@@ -110,6 +116,15 @@
   })
 })
 
+// Guards against requests that the host refuses and so does not count as evidence of who calls a route.
+test('host records from which service each request comes', async () => {
+  await runWithHost(async (host, control) => {
+    await host.run(hostedRequest({ route: 'thinned' }))
+    await host.run(hostedRequest({ callerService: NARROW }))
+    assert.deepEqual(control.callers, [`thinned ${Samples.SERVICE}`, `r1 ${NARROW}`])
+  })
+})
+
 // Guards against demand that is counted twice or not at all, and against a queue length that does not return to zero.
 test('demand is recorded once for each request that the host takes or has no time for', async () => {
   await runWithHost(async (host, control) => {
@@ -134,6 +149,8 @@
   assert.equal(Reports.format({ ...REPORT, trippedNearby: [TARGET], admissionFraction: 0.625 }), `${Reports.format({ ...REPORT, trippedNearby: [TARGET] })} fraction=0.625`)
   assert.deepEqual(Reports.parse(`${Reports.format({ ...REPORT, trippedNearby: [] })} later=x fraction=abc other`), { ...REPORT, trippedNearby: [] })
   assert.deepEqual(Reports.parse(`${Reports.format(REPORT)} fraction=-1`), REPORT)
+  const callReport = { ...REPORT, trippedNearby: [], admissionFraction: 0.5, isCallRoute: true as const }
+  assert.deepEqual(Reports.parse(Reports.format(callReport)), callReport)
 })
 
 // Guards against a call that stands for another demand than its sender states.
