feat(proxy): fair queue of a host

Cause: a host's queue knew priority and arrival only. Calls of running requests waited behind direct ones, an account at five times its rate took its share from all others, and a request was refused by the length of the whole queue.

Change: with sharesFairly, calls go before direct requests (which keep 1 start in 5), then priority (less urgent keep 1 in 10), then the route and the account with the least recent work, then short before long with aging. Without sharesFairly the queue is the one of before, moved to priority-queue.ts.

--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -3,6 +3,7 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as Routes from '../routes/route.js'
 import * as BufferBudgets from '../transport/buffer-budget.js'
 import * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
@@ -47,6 +48,8 @@
   readonly targetAddress: Decisions.Ids.Endpoint
   /** Configuration version in force. */
   readonly version: () => Decisions.Ids.Version
+  /** Switches of the configuration in force; undefined before the first. */
+  readonly features?: () => Routes.CapacityFeatures | undefined
   /** Called after each failure, which trips the circuit breaker or keeps it tripped, and when it resets. */
   readonly onBreakerChanged: (target: Decisions.Ids.TargetId, report: HostReports.HostReport) => void
   /** Called with each response in which the target states that it is leaving. */
@@ -69,7 +72,7 @@
 
   constructor (dependencies: HostDependencies) {
     this.dependencies = dependencies
-    this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock)
+    this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock, dependencies.features)
     this.strippedHeaders = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
   }
 
--- a/packages/proxy/src/host/target-capacity.ts
+++ b/packages/proxy/src/host/target-capacity.ts
@@ -1,6 +1,9 @@
 /** What the local target can take: its slots, its rate limit, and the queue of requests that wait for both. */
 import type * as Decisions from '@jasminedale/decisions'
 import type * as HostedRequests from './hosted-request.js'
+import type * as Routes from '../routes/route.js'
+import * as FairQueues from './fair-queue.js'
+import * as PriorityQueues from './priority-queue.js'
 import * as RateLimits from './rate-limit.js'
 import * as ServiceTimes from './service-time.js'
 import * as Slots from './slots.js'
@@ -15,7 +18,10 @@
   /** Starts queued requests that wait for the rate limit. */
   private startTimer: NodeJS.Timeout | undefined
 
-  constructor (private readonly clock: Decisions.Clock.Clock) {}
+  private isFair = false
+
+  /** @param features Switches of the configuration in force; undefined before the first. */
+  constructor (private readonly clock: Decisions.Clock.Clock, private readonly features: () => Routes.CapacityFeatures | undefined = () => undefined) {}
 
   /** Number of requests that hold a slot. */
   get running (): number {
@@ -56,8 +62,10 @@
   /** Takes a free slot, or waits in the queue for one. Each slot must be given back with `release`. */
   async acquire (request: HostedRequests.HostedRequest): Promise<'started' | CapacityRefusal> {
     const now = this.clock.now()
+    this.applyFeatures(now)
     if (this.slots.mayStart(now)) {
       this.slots.acquire(now)
+      this.slots.recordStart(request, this.serviceTime.mean, now)
       return 'started'
     }
     // Other targets may take the request at once, so it does not wait for the limit of this one.
@@ -80,6 +88,9 @@
         priority: request.priority,
         deadline: request.deadline,
         objectiveDeadline: request.objectiveDeadline,
+        route: request.route,
+        account: request.account,
+        isCall: request.isCall,
         start: () => { resolve('started') },
         expire: () => { resolve('too-late') }
       }
@@ -90,6 +101,14 @@
     })
   }
 
+  /** Puts the order of the queue into force that the configuration asks for. */
+  private applyFeatures (now: Decisions.Clock.Milliseconds): void {
+    const isFair = this.features()?.sharesFairly === true
+    if (isFair === this.isFair) return
+    this.isFair = isFair
+    this.slots.useQueue(isFair ? new FairQueues.FairQueue() : new PriorityQueues.PriorityQueue(), this.serviceTime.mean, now)
+  }
+
   private startQueued (): void {
     this.slots.startQueued(this.serviceTime.mean, this.clock.now())
     this.scheduleStart()
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -204,7 +204,7 @@
     quarantine: Awilix.asClass(Quarantines.Quarantine).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
       clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine,
-      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
+      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version, features: () => cradle.configuration.current?.features,
       onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) },
       onTargetLeaving: target => { void cradle.membership.recordLeaving(target) }
     })).singleton(),
