feat(proxy): placement and waits by the expected cost of requests

Cause: entries counted requests a slot and took a target's mean service time for its speed; hosts estimated waits from that mean.

Change, with placesByCost: entries forward the cost they expect and the size class, hosts measure their target's slowness against it and report slowness, work left and the service time (one trailing field each, optional). Entries place by (work left + cost) x slowness / (slots x mean cost), what they sent since the report included, among the targets known to have a free slot if there are any; two different choices. Hosts estimate waits, refusals and Retry-After of too-late from the cost of what is ahead and the rest of what runs. Without placesByCost nothing is sent, learned or chosen differently.

--- a/packages/decisions/src/routing/selection.ts
+++ b/packages/decisions/src/routing/selection.ts
@@ -38,6 +38,19 @@
   }
 }
 
+/**
+ * The cheaper of two random candidates that differ. An expensive one is chosen only if both picks are, so a target that
+ * became 12 times slower does not get more than it can do; `docs/design/placement-by-cost.md` has the measurements.
+ */
+export class TwoDifferentChoices extends Selection {
+  choose<Option extends Candidate> (candidates: readonly Option[], random: Randoms.Random): Option | undefined {
+    if (candidates.length < 2) return candidates[0]
+    const first = random.below(candidates.length)
+    const [left, right] = [candidates[first], candidates[(first + 1 + random.below(candidates.length - 1)) % candidates.length]]
+    return left === undefined || right === undefined || left.cost <= right.cost ? left : right
+  }
+}
+
 /** The cheapest of all candidates; ties are broken at random. */
 export class LowestCost extends Selection {
   choose<Option extends Candidate> (candidates: readonly Option[], random: Randoms.Random): Option | undefined {
--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -1,5 +1,6 @@
 /** Dispatch of one request: chooses targets, retries and hedges as the route and the retry budget allow, and ends with one answer. */
 import * as Decisions from '@jasminedale/decisions'
+import type * as ServiceCosts from '../costs/service-costs.js'
 import type * as Directories from '../directory/directory.js'
 import type * as Registrations from '../directory/registration.js'
 import type * as HostedRequests from '../host/hosted-request.js'
@@ -22,6 +23,8 @@
   readonly sender: Pick<Senders.Sender, 'send'>
   readonly metrics: Metrics.Metrics
   readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock'>
+  /** Costs of requests; undefined while requests are not placed by cost. */
+  readonly costs?: () => ServiceCosts.ServiceCosts | undefined
 }
 
 /** An attempt as it appears in the log. */
@@ -103,7 +106,7 @@
     const { request, dependencies } = this
     const now = dependencies.clock.now()
     const candidates = dependencies.directory.readyTargets(request.service)
-    const criteria = { isFailureFinal: !this.mayBeProbe(now), mayBypassBreaker: false, excluded: this.excluded }
+    const criteria = { isFailureFinal: !this.mayBeProbe(now), mayBypassBreaker: false, excluded: this.excluded, cost: this.cost(now) }
     const chosen = this.chooseOverflowTarget(candidates, now) ?? dependencies.targetSelector.choose(candidates, criteria, now) ?? this.chooseLastResort(candidates, now)
     if (chosen === undefined) {
       this.handleNoTarget(candidates, now)
@@ -129,7 +132,14 @@
   private chooseLastResort (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): Registrations.Registration | undefined {
     if (this.hasBypassedBreaker || (this.trippedRefusals === 0 && !this.dependencies.targetSelector.hasTrippedTarget(candidates, now))) return undefined
     this.hasBypassedBreaker = true
-    return this.dependencies.targetSelector.choose(candidates, { isFailureFinal: false, mayBypassBreaker: true, excluded: this.executionTargets }, now)
+    return this.dependencies.targetSelector.choose(candidates, { isFailureFinal: false, mayBypassBreaker: true, excluded: this.executionTargets, cost: this.cost(now) }, now)
+  }
+
+  /** Expected cost of the request and the mean of its service; undefined while requests are not placed by cost. */
+  private cost (now: Decisions.Clock.Milliseconds): TargetSelectors.SelectionCriteria['cost'] {
+    const { request, dependencies: { costs } } = this
+    const learned = costs?.()
+    return learned === undefined ? undefined : { request: learned.expected(request.service, Senders.costKeyOf(request), now), mean: learned.mean(request.service) }
   }
 
   private send (registration: Registrations.Registration, now: Decisions.Clock.Milliseconds): void {
--- a/packages/proxy/src/entry/host-views.ts
+++ b/packages/proxy/src/entry/host-views.ts
@@ -4,6 +4,8 @@
 
 /** Time constant with which a reported load decays. Single requests end sooner, but a busy target stays busy for seconds. */
 const LOAD_DECAY = Decisions.Clock.milliseconds(1_500)
+/** Time constant with which a reported slowness returns to that of an average target; a slow target must be tried again to show that it has recovered. */
+const SLOWNESS_DECAY = Decisions.Clock.seconds(30)
 /** Time after the probe delay for which a circuit breaker is assumed to stay tripped if its host reports nothing. Probes come about once a second. */
 const TRIPPED_STATE_LIFETIME = Decisions.Clock.seconds(2)
 /** Time for which an unreachable host is avoided; doubles with each consecutive failure. */
@@ -16,6 +18,12 @@
 export interface HostView {
   /** Requests of this node that are in flight to the target. */
   inFlight: number
+  /** Their expected cost, in ms of an average target. */
+  inFlightWork: number
+  /** Expected cost of the requests that this node has sent to the target since its last report. */
+  workSinceReport: number
+  /** Their number. */
+  requestsSinceReport: number
   report: HostReports.HostReport | undefined
   reportedAt: Decisions.Clock.Milliseconds
   /** When the target may get a probe request; undefined unless its circuit breaker is tripped. */
@@ -34,7 +42,7 @@
     const existing = this.byTarget.get(target)
     if (existing !== undefined) return existing
     const zero = Decisions.Clock.milliseconds(0)
-    const created: HostView = { inFlight: 0, report: undefined, reportedAt: zero, nextProbeAt: undefined, avoidedUntil: zero, consecutiveFailures: 0 }
+    const created: HostView = { inFlight: 0, inFlightWork: 0, workSinceReport: 0, requestsSinceReport: 0, report: undefined, reportedAt: zero, nextProbeAt: undefined, avoidedUntil: zero, consecutiveFailures: 0 }
     this.byTarget.set(target, created)
     return created
   }
@@ -52,6 +60,8 @@
     const view = this.of(target)
     view.report = report
     view.reportedAt = now
+    view.workSinceReport = 0
+    view.requestsSinceReport = 0
     view.nextProbeAt = report.timeUntilProbe === undefined ? undefined : Decisions.Clock.add(now, Decisions.Clock.milliseconds(report.timeUntilProbe))
   }
 
@@ -88,6 +98,30 @@
   return Math.max(view.inFlight, weight * (view.report.running + view.report.queued))
 }
 
+/**
+ * Estimated work at the target in ms of an average one: that of this node, or the reported work, which decays with the age
+ * of the report, and what this node has sent since. Without a report of work, the requests count with the mean cost.
+ */
+export function outstandingWork (view: HostView, meanCost: number, now: Decisions.Clock.Milliseconds): number {
+  const { report } = view
+  if (report === undefined) return view.inFlightWork
+  // A slow target takes longer to work off what it has, and to send the next report.
+  const weight = Math.exp(-Math.max(0, now - view.reportedAt) / (LOAD_DECAY * Math.max(1, slowness(view, now) ?? 1)))
+  const reported = report.work?.left ?? meanCost * (report.running + report.queued)
+  return Math.max(view.inFlightWork, weight * reported + view.workSinceReport)
+}
+
+/** Whether the target had a free slot at its last report that this node has not used since. A target without a report counts as idle. */
+export function hasFreeSlot (view: HostView, slots: number): boolean {
+  return view.report === undefined ? view.inFlight < slots : view.report.queued === 0 && view.report.running + view.requestsSinceReport < slots
+}
+
+/** How many times longer the target takes than an average one; undefined if its host does not report it. */
+export function slowness (view: HostView, now: Decisions.Clock.Milliseconds): number | undefined {
+  const reported = view.report?.work?.slowness
+  return reported === undefined ? undefined : 1 + (reported - 1) * Math.exp(-Math.max(0, now - view.reportedAt) / SLOWNESS_DECAY)
+}
+
 /** Milliseconds until the target may get a probe request, zero if one is due; undefined unless its circuit breaker is tripped. */
 export function timeUntilProbe (view: HostView, now: Decisions.Clock.Milliseconds): number | undefined {
   return view.nextProbeAt === undefined ? undefined : Math.max(0, view.nextProbeAt - now)
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -1,5 +1,7 @@
 /** Sends one attempt to its target, directly if it is the local one and otherwise through the target's host. */
 import * as Decisions from '@jasminedale/decisions'
+import * as CostTables from '../costs/cost-table.js'
+import type * as ServiceCosts from '../costs/service-costs.js'
 import type * as Directories from '../directory/directory.js'
 import type * as Registrations from '../directory/registration.js'
 import * as Forwarding from '../host/forwarding.js'
@@ -36,6 +38,8 @@
   /** Service of this VM, from which callers send their requests to this node. */
   readonly callerService: Decisions.Ids.Service
   readonly views: HostViews.HostViews
+  /** Costs of requests, learned from the responses; undefined while requests are not placed by cost. */
+  readonly costs: () => ServiceCosts.ServiceCosts | undefined
   readonly directory: Directories.Directory
   readonly dialect: Dialects.Dialect
   readonly log: Logs.Log
@@ -71,15 +75,36 @@
 
   send (request: Requests.EntryRequest, registration: Registrations.Registration, options: AttemptOptions): Attempt {
     const view = this.dependencies.views.of(registration.target)
+    const expectation = this.expectationOf(request)
+    const cost = expectation?.cost ?? 0
     view.inFlight += 1
+    view.inFlightWork += cost
+    view.workSinceReport += cost
+    view.requestsSinceReport += 1
     const attempt = registration.host === this.dependencies.location.host
-      ? this.sendLocally(request, registration, options)
-      : this.forward(request, registration, options)
-    void attempt.outcome.finally(() => { view.inFlight -= 1 })
+      ? this.sendLocally(request, registration, options, expectation)
+      : this.forward(request, registration, options, expectation)
+    void attempt.outcome.finally(() => {
+      view.inFlight -= 1
+      view.inFlightWork = view.inFlight === 0 ? 0 : Math.max(0, view.inFlightWork - cost)
+    })
     return attempt
   }
 
-  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions): Attempt {
+  private expectationOf (request: Requests.EntryRequest): HostedRequests.Expectation | undefined {
+    const costs = this.dependencies.costs()
+    if (costs === undefined) return undefined
+    const key = costKeyOf(request)
+    return { cost: costs.expected(request.service, key, this.dependencies.clock.now()), sizeClass: key.sizeClass }
+  }
+
+  /** Learns the cost of a request from the service time that its host measured. */
+  private learnCost (request: Requests.EntryRequest, work: HostReports.WorkReport | undefined, served: number | undefined): void {
+    if (work === undefined || served === undefined) return
+    this.dependencies.costs()?.learn(request.service, costKeyOf(request), served, work.slowness, this.dependencies.clock.now())
+  }
+
+  private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions, expectation: HostedRequests.Expectation | undefined): Attempt {
     const listeners: (() => void)[] = []
     const state = { isQueued: false }
     const { target } = registration
@@ -94,6 +119,7 @@
       route: request.route.name,
       account: request.account,
       isCall: request.isCall,
+      expectation,
       repeatable: request.route.repeatable,
       mayBeProbe,
       priority: request.priority,
@@ -109,14 +135,16 @@
       },
       onWithdrawn: listener => { listeners.push(listener) }
     }).then(hostOutcome => {
-      views.recordResponse(target, host.report(), clock.now())
+      const report = host.report()
+      views.recordResponse(target, report, clock.now())
+      if (hostOutcome.kind === 'answered') this.learnCost(request, report.work, hostOutcome.served)
       this.avoidUnavailableTarget(target, hostOutcome)
       return hostOutcome
     })
     return { target, outcome, isQueued: () => state.isQueued, withdraw: () => { for (const listener of listeners) listener() } }
   }
 
-  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions): Attempt {
+  private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions, expectation: HostedRequests.Expectation | undefined): Attempt {
     const { clock, connections, callerService, views } = this.dependencies
     const { target } = registration
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
@@ -124,7 +152,7 @@
       target, remaining, latencyObjective: request.route.latencyObjective,
       objectiveRemaining: Decisions.Clock.milliseconds(Math.max(0, request.arrivedAt + request.route.latencyObjective - clock.now())), priority: request.priority,
       repeatable: request.route.repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService,
-      route: request.route.name, account: request.account, isCall: request.isCall
+      route: request.route.name, account: request.account, isCall: request.isCall, expectation
     })
     const exchange = new Exchanges.Exchange({
       address: registration.host,
@@ -170,6 +198,7 @@
         const { outcome, report } = Forwarding.parseOutcome(result.response)
         if (report !== undefined) {
           views.recordResponse(target, report, now)
+          this.learnCost(request, report.work, report.work?.served)
           this.recordNeighbours(registration, report, now)
           onVersionSeen(report.version, host)
         }
@@ -217,6 +246,10 @@
   }
 }
 
+export function costKeyOf ({ route, account, body }: Requests.EntryRequest): CostTables.CostKey {
+  return { route: route.name, account, sizeClass: CostTables.sizeClassOf(body.length) }
+}
+
 /** Outcome of a withdrawn attempt. One that was not sent has certainly not run. */
 function withdrawnOutcome (result: Exchanges.ExchangeResult): HostedRequests.Outcome {
   return result.kind === 'not-sent' ? { kind: 'refused', reason: 'too-late', retryAfter: 0 } : { kind: 'withdrawn' }
--- a/packages/proxy/src/entry/target-selector.ts
+++ b/packages/proxy/src/entry/target-selector.ts
@@ -17,6 +17,8 @@
   readonly mayBypassBreaker: boolean
   /** Targets that have already run the request or refused it. */
   readonly excluded: ReadonlySet<Decisions.Ids.TargetId>
+  /** Expected cost of the request, and the mean of its service, in ms of an average target; undefined while requests are placed by their number. */
+  readonly cost?: { readonly request: number, readonly mean: number } | undefined
 }
 
 /** 0: same node; 1: same data center; 2: same region; 3: another region. */
@@ -46,17 +48,29 @@
   readonly registration: Registrations.Registration
   readonly distance: Distance
   readonly cost: number
+  /** Known to have a free slot and not to be slow. */
+  readonly isFree: boolean
 }
 
+/** Targets slower than this are not chosen for a free slot alone. */
+const FREE_SLOWNESS_MAXIMUM = 2
+
 export function distanceOf (location: NodeLocation, registration: Registrations.Registration): Distance {
   if (registration.host === location.host) return 0
   if (registration.dataCenter === location.dataCenter) return 1
   return registration.region === location.region ? 2 : 3
 }
 
+/** Requests that the target has with this one; placed by cost, their work in units of the mean cost. */
+function loadOf (view: HostViews.HostView, { cost }: SelectionCriteria, now: Decisions.Clock.Milliseconds): number {
+  return cost === undefined ? HostViews.outstandingRequests(view, now) + 1 : (HostViews.outstandingWork(view, cost.mean, now) + cost.request) / cost.mean
+}
+
 export class TargetSelector {
   /** Power of two choices: with stale reports, all nodes would otherwise send their requests to the single cheapest target. */
   private readonly selection = new Decisions.Selections.TwoChoices()
+  /** Used for requests that are placed by cost. */
+  private readonly selectionByCost = new Decisions.Selections.TwoDifferentChoices()
 
   constructor (
     private readonly location: NodeLocation,
@@ -74,12 +88,19 @@
     const scored = eligible.map(candidate => this.score(candidate, criteria, meanServiceTime, now))
     let best: ScoredCandidate | undefined
     for (const distance of [0, 1, 2, 3] as const) {
-      const chosen = this.selection.choose(scored.filter(candidate => candidate.distance === distance), this.random)
+      const group = scored.filter(candidate => candidate.distance === distance)
+      const chosen = criteria.cost === undefined ? this.selection.choose(group, this.random) : this.chooseByCost(group)
       if (chosen !== undefined && (best === undefined || chosen.cost < best.cost)) best = chosen
     }
     return best?.registration
   }
 
+  /** Targets with a free slot come first: reports arrive with responses, so a target that has just answered is known to have one. */
+  private chooseByCost (group: readonly ScoredCandidate[]): ScoredCandidate | undefined {
+    const free = group.filter(({ isFree }) => isFree)
+    return this.selectionByCost.choose(free.length > 0 ? free : group, this.random)
+  }
+
   /** Whether the circuit breaker of any candidate is tripped, so that a last-resort attempt could bypass it. */
   hasTrippedTarget (candidates: readonly Registrations.Registration[], now: Decisions.Clock.Milliseconds): boolean {
     return candidates.some(candidate => HostViews.isTripped(this.views.of(candidate.target), now))
@@ -125,11 +146,13 @@
     const view = this.views.of(registration.target)
     const distance = distanceOf(this.location, registration)
     const ownServiceTime = HostViews.serviceTime(view)
-    const slowness = ownServiceTime > 0 && meanServiceTime > 0 ? Math.min(ownServiceTime / meanServiceTime, SLOWNESS_MAXIMUM) : 1
+    const timeRatio = ownServiceTime > 0 && meanServiceTime > 0 ? Math.min(ownServiceTime / meanServiceTime, SLOWNESS_MAXIMUM) : 1
+    const slowness = criteria.cost === undefined ? timeRatio : Math.min(HostViews.slowness(view, now) ?? timeRatio, SLOWNESS_MAXIMUM)
     const recoveryCost = criteria.isFailureFinal && HostViews.timeUntilProbe(view, now) !== undefined ? UNCONFIRMED_RECOVERY_COST : 0
     const failureCost = criteria.mayBypassBreaker ? FAILURE_COST * Math.min(HostViews.failures(view), COUNTED_FAILURES_MAXIMUM) : 0
-    const load = (HostViews.outstandingRequests(view, now) + 1) / registration.slots
-    return { registration, distance, cost: load * slowness + DISTANCE_COST[distance] + recoveryCost + failureCost }
+    const load = loadOf(view, criteria, now) / registration.slots
+    const isFree = criteria.cost !== undefined && recoveryCost + failureCost === 0 && slowness < FREE_SLOWNESS_MAXIMUM && HostViews.hasFreeSlot(view, registration.slots)
+    return { registration, distance, cost: load * slowness + DISTANCE_COST[distance] + recoveryCost + failureCost, isFree }
   }
 
   /** Mean over the candidates with a known service time; zero if there are none. */
--- a/packages/proxy/src/host/fair-queue.ts
+++ b/packages/proxy/src/host/fair-queue.ts
@@ -37,6 +37,10 @@
     return this.count
   }
 
+  get work (): number {
+    return this.lanes.reduce((sum, lane) => sum + lane.work, 0)
+  }
+
   add (request: RequestQueues.QueuedRequest, pace: RequestQueues.Pace): readonly RequestQueues.QueuedRequest[] {
     const waiting = this.waitingOf(request, pace)
     const lane = this.laneOf(request, pace)
--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -5,7 +5,7 @@
 import * as HostReports from './host-report.js'
 import * as HostedRequests from './hosted-request.js'
 
-/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1, names percent-encoded. Further fields are ignored. */
+/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces (`expectation` as cost and size class, separated by a comma, or left out), times in ms and booleans as 0 or 1, names percent-encoded. Further fields are ignored. */
 const METADATA_HEADER = 'jasminedale-work'
 /** The host's report. */
 const REPORT_HEADER = 'jasminedale-host'
@@ -46,6 +46,7 @@
   readonly route: string
   readonly account: Decisions.Ids.Account | undefined
   readonly isCall: boolean
+  readonly expectation?: HostedRequests.Expectation | undefined
 }
 
 export function formatMetadata (metadata: RequestMetadata): string[] {
@@ -54,13 +55,15 @@
     Number(metadata.repeatable), Number(metadata.mayBeProbe), Number(metadata.mayQueue), Number(metadata.mayBypassBreaker), metadata.callerService,
     encodeURIComponent(metadata.route), metadata.account === undefined ? NO_ACCOUNT : `=${encodeURIComponent(metadata.account)}`, Number(metadata.isCall)
   ]
+  const { expectation } = metadata
+  if (expectation !== undefined) fields.push(`${Math.round(expectation.cost)},${expectation.sizeClass}`)
   return [METADATA_HEADER, fields.join(' ')]
 }
 
 /** Undefined when the request was not forwarded by a node or its metadata is not valid. */
 export function parseMetadata (headers: readonly string[]): RequestMetadata | undefined {
   const fields = Headers.firstValue(headers, METADATA_HEADER)?.split(' ') ?? []
-  const [target, remaining, objective, objectiveRemaining, priority, repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService, route, account, isCall] = fields
+  const [target, remaining, objective, objectiveRemaining, priority, repeatable, mayBeProbe, mayQueue, mayBypassBreaker, callerService, route, account, isCall, expectation] = fields
   if (fields.length < FIELD_COUNT || target === undefined || callerService === undefined || route === undefined || account === undefined) return undefined
   const numbers = [remaining, objective, objectiveRemaining, priority].map(Number)
   if (!numbers.every(Number.isFinite)) return undefined
@@ -77,10 +80,18 @@
     callerService: Decisions.Ids.service(callerService),
     route: decode(route),
     account: account === NO_ACCOUNT ? undefined : Decisions.Ids.account(decode(account.slice(1))),
-    isCall: isCall === '1'
+    isCall: isCall === '1',
+    ...parseExpectation(expectation)
   }
 }
 
+/** Nothing from nodes that do not place by cost, and when it is not valid. */
+function parseExpectation (text: string | undefined): Pick<RequestMetadata, 'expectation'> {
+  const [cost, sizeClass] = text?.split(',').map(Number) ?? []
+  if (cost === undefined || sizeClass === undefined || !(cost > 0) || !Number.isFinite(cost) || !Number.isInteger(sizeClass) || sizeClass < 0) return {}
+  return { expectation: { cost, sizeClass } }
+}
+
 /** A text that is not percent-encoded correctly is taken as it is. */
 function decode (text: string): string {
   try {
@@ -92,7 +103,8 @@
 
 /** The response of a host to the entry node. */
 export function formatOutcome (outcome: HostedRequests.Outcome, report: HostReports.HostReport): Exchanges.Response {
-  const state = [REPORT_HEADER, HostReports.format(report)]
+  const served = outcome.kind === 'answered' ? outcome.served : undefined
+  const state = [REPORT_HEADER, HostReports.format(report.work === undefined ? report : { ...report, work: { ...report.work, served } })]
   const body = Buffer.alloc(0)
   switch (outcome.kind) {
     case 'answered': {
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -75,6 +75,7 @@
       route: metadata.route,
       account: metadata.account,
       isCall: metadata.isCall,
+      expectation: metadata.expectation,
       repeatable: metadata.repeatable,
       mayBeProbe: metadata.mayBeProbe,
       priority: metadata.priority,
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -99,6 +99,7 @@
 
   report (): HostReports.HostReport {
     const now = this.dependencies.clock.now()
+    const { work } = this.capacity
     return {
       running: this.capacity.running,
       queued: this.capacity.queued,
@@ -106,7 +107,8 @@
       timeUntilProbe: this.circuitBreaker.timeUntilProbe(now),
       failures: this.circuitBreaker.failures,
       serviceTime: this.capacity.serviceTime.mean,
-      version: this.dependencies.version()
+      version: this.dependencies.version(),
+      ...(work === undefined ? {} : { work })
     }
   }
 
@@ -117,7 +119,7 @@
     const slotResult = await this.capacity.acquire(request)
     if (slotResult !== 'started') {
       this.circuitBreaker.recordInconclusive(admission)
-      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed)))
+      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed, slotResult === 'too-late' ? this.capacity.retryAfter(request) : 0)))
     }
     let wasSent = true
     try {
@@ -162,6 +164,8 @@
   private async runInSlot (request: HostedRequests.HostedRequest, body: Buffer, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
     const startedAt = this.dependencies.clock.now()
     const exchange = this.send(request, body, startedAt)
+    const { costs } = this.capacity
+    const run = costs?.start(request, startedAt)
     const state = { isWithdrawn: false }
     request.onWithdrawn(() => {
       state.isWithdrawn = true
@@ -170,11 +174,12 @@
     const silenceTimer = setTimeout(() => { this.recordSilence(request, admission, startedAt) }, request.latencyObjective)
     const result = await exchange.result
     clearTimeout(silenceTimer)
+    if (run !== undefined) costs?.end(run)
     const elapsed = Decisions.Clock.between(startedAt, this.dependencies.clock.now())
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
     this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
     this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(result))
-    return outcome
+    return outcome.kind === 'answered' && outcome.response.status < SERVER_ERROR && costs !== undefined ? { ...outcome, served: elapsed } : outcome
   }
 
   /** The refusal if the circuit breaker has tripped since the request was admitted. */
@@ -288,7 +293,7 @@
         }
         metrics.recordTargetRequest(isError ? 'error' : 'success', elapsed)
         if (!isError) {
-          this.capacity.serviceTime.add(elapsed)
+          this.capacity.recordServiceTime(request, elapsed, now)
           this.recordSuccess(request, admission)
           break
         }
@@ -300,7 +305,7 @@
       }
       case 'failed':
         metrics.recordTargetRequest(outcome.reason, elapsed)
-        if (outcome.reason === 'timed-out') this.capacity.serviceTime.addLowerBound(elapsed)
+        if (outcome.reason === 'timed-out') this.capacity.recordLowerBound(request, elapsed, now)
         // A deadline shorter than the latency objective says nothing about the target.
         if (outcome.reason === 'timed-out' && elapsed < request.latencyObjective) this.circuitBreaker.recordInconclusive(admission)
         else this.recordFailure(request, admission)
@@ -311,7 +316,7 @@
         break
       case 'withdrawn':
         metrics.recordTargetRequest('withdrawn', elapsed)
-        this.capacity.serviceTime.addLowerBound(elapsed)
+        this.capacity.recordLowerBound(request, elapsed, now)
         this.circuitBreaker.recordInconclusive(admission)
         break
     }
--- a/packages/proxy/src/host/hosted-request.ts
+++ b/packages/proxy/src/host/hosted-request.ts
@@ -20,6 +20,8 @@
   readonly account: Decisions.Ids.Account | undefined
   /** Whether a backend server sent it while it ran another request, which fails without it. */
   readonly isCall: boolean
+  /** What the entry node expects of the request; undefined from nodes that do not place by cost. */
+  readonly expectation?: Expectation | undefined
   /** Priority under overload; 0 is the most urgent. */
   readonly priority: number
   readonly deadline: Decisions.Clock.Milliseconds
@@ -38,6 +40,14 @@
   onWithdrawn (listener: () => void): void
 }
 
+/** Cost of a request as its entry node expects it. */
+export interface Expectation {
+  /** In ms of an average target. */
+  readonly cost: number
+  /** See `CostTables.sizeClassOf`. */
+  readonly sizeClass: number
+}
+
 /** Reasons with which a host refuses a request. A refused request is certain not to have run. */
 export type RefusalReason =
   | 'node-starting' | 'node-leaving'
@@ -55,7 +65,8 @@
 const FAILURE_REASONS: ReadonlySet<string> = new Set<FailureReason>(['connection-lost', 'timed-out', 'response-invalid', 'host-lost'])
 
 export type Outcome =
-  | { readonly kind: 'answered', readonly response: Exchanges.Response }
+  /** `served` is the service time in ms, if the host learns costs. */
+  | { readonly kind: 'answered', readonly response: Exchanges.Response, readonly served?: number }
   /** `retryAfter` is the time in ms after which another attempt may succeed. */
   | { readonly kind: 'refused', readonly reason: RefusalReason, readonly retryAfter: number }
   | { readonly kind: 'failed', readonly reason: FailureReason, readonly detail: string }
--- a/packages/proxy/src/host/priority-queue.ts
+++ b/packages/proxy/src/host/priority-queue.ts
@@ -8,6 +8,10 @@
     return this.queue.length
   }
 
+  get work (): number {
+    return this.queue.reduce((sum, { cost }) => sum + (cost ?? 0), 0)
+  }
+
   add (entry: RequestQueues.QueuedRequest, pace: RequestQueues.Pace): readonly RequestQueues.QueuedRequest[] {
     const position = this.queue.findIndex(other => other.priority > entry.priority)
     if (position < 0) {
@@ -47,7 +51,13 @@
   }
 
   private excessBehind (entry: RequestQueues.Applicant, ahead: number, pace: RequestQueues.Pace): number {
-    const wait = (ahead + 1) * Math.max(pace.untilFree, pace.interval)
+    const wait = entry.cost === undefined ? (ahead + 1) * Math.max(pace.untilFree, pace.interval) : RequestQueues.waitBehind(this.workOfFirst(ahead), ahead, pace)
     return pace.now + wait + RequestQueues.costOf(entry, pace) - RequestQueues.latestEnd(entry, ahead, pace)
   }
+
+  private workOfFirst (count: number): number {
+    let work = 0
+    for (let index = 0; index < count; index += 1) work += this.queue[index]?.cost ?? 0
+    return work
+  }
 }
--- a/packages/proxy/src/host/request-queue.ts
+++ b/packages/proxy/src/host/request-queue.ts
@@ -36,6 +36,8 @@
 
 export abstract class RequestQueue {
   abstract get length (): number
+  /** Expected cost in ms of all that wait; those of unknown cost do not count. */
+  abstract get work (): number
   /** Adds a request, and removes and returns others that are no longer expected to finish in time because of it. */
   abstract add (entry: QueuedRequest, pace: Pace): readonly QueuedRequest[]
   /** Returns whether the request was in the queue. */
--- a/packages/proxy/src/host/slots.ts
+++ b/packages/proxy/src/host/slots.ts
@@ -1,5 +1,6 @@
 /** Concurrency and rate limit of the local target, with a queue of the requests that wait for both. */
 import type * as Decisions from '@jasminedale/decisions'
+import type * as RunningWorks from '../costs/running-work.js'
 import * as PriorityQueues from './priority-queue.js'
 import type * as RateLimits from './rate-limit.js'
 import type * as RequestQueues from './request-queue.js'
@@ -9,6 +10,8 @@
 export class Slots {
   private busyCount = 0
   private limit = 1
+  /** Expected cost of what runs; undefined while waits are estimated from the mean service time. */
+  private running: RunningWorks.RunningWork | undefined
 
   constructor (private readonly rateLimit: RateLimits.RateLimit, private queue: RequestQueues.RequestQueue = new PriorityQueues.PriorityQueue()) {}
 
@@ -37,6 +40,16 @@
     for (const entry of waiting) this.enqueue(entry, meanServiceTime, now)
   }
 
+  /** Estimates waits from the expected rest of what runs; from the mean service time if undefined. */
+  useRunningWork (running: RunningWorks.RunningWork | undefined): void {
+    this.running = running
+  }
+
+  /** Expected cost in ms of what waits. */
+  get queuedWork (): number {
+    return this.queue.work
+  }
+
   /** Whether a request may start at once, without overtaking requests in the queue. */
   mayStart (now: Decisions.Clock.Milliseconds): boolean {
     return this.busyCount < this.limit && this.queue.length === 0 && this.rateLimit.timeUntilToken(now) === 0
@@ -98,7 +111,12 @@
     }
   }
 
+  /** Expected time in ms until a slot is free for the first of the queue. */
+  private untilFree (meanServiceTime: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): number {
+    return this.running === undefined || this.running.size === 0 ? meanServiceTime / this.limit : this.busyCount < this.limit ? 0 : this.running.untilFirstEnd(now)
+  }
+
   private pace (meanServiceTime: Decisions.Clock.Milliseconds, now: Decisions.Clock.Milliseconds): RequestQueues.Pace {
-    return { now, slots: this.limit, meanServiceTime, untilFree: meanServiceTime / this.limit, interval: this.rateLimit.interval }
+    return { now, slots: this.limit, meanServiceTime, untilFree: this.untilFree(meanServiceTime, now), interval: this.rateLimit.interval }
   }
 }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,6 +1,7 @@
 /** One proxy node: sends requests of the callers on its VM to targets, and passes requests of all nodes to the backend server on its VM. */
 import * as Decisions from '@jasminedale/decisions'
 import * as Awilix from 'awilix'
+import * as ServiceCosts from './costs/service-costs.js'
 import * as Delays from './delay.js'
 import * as Directories from './directory/directory.js'
 import * as Gateways from './entry/gateway.js'
@@ -52,6 +53,8 @@
   readonly settingsState: SettingsStates.SettingsState
   readonly localTarget: LocalTargets.LocalTarget
   readonly views: HostViews.HostViews
+  /** Undefined while the configuration does not place requests by cost. */
+  readonly costs: () => ServiceCosts.ServiceCosts | undefined
   readonly connections: ConnectionPools.ConnectionPool
   readonly nodeChannel: NodeChannels.NodeChannel
   readonly nodeRpc: NodeRpcs.NodeRpc
@@ -198,6 +201,7 @@
     random: Awilix.asFunction(createRandom).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
+    costs: Awilix.asFunction(createCosts).singleton(),
     connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
     nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
     nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
@@ -213,7 +217,7 @@
     targetSelector: Awilix.asFunction((cradle: Cradle) => new TargetSelectors.TargetSelector(cradle.settings.location, cradle.views, cradle.random)).singleton(),
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
-      clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
+      clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, costs: cradle.costs, directory: cradle.directory, dialect: cradle.dialect,
       connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
@@ -240,6 +244,11 @@
   }
 }
 
+function createCosts ({ configuration }: Cradle): () => ServiceCosts.ServiceCosts | undefined {
+  const costs = new ServiceCosts.ServiceCosts()
+  return () => configuration.current?.features.placesByCost === true ? costs : undefined
+}
+
 function createRandom ({ settings }: Cradle): Decisions.Random.Random {
   return new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))
 }
--- a/packages/proxy/tests/host/forwarding.test.ts
+++ b/packages/proxy/tests/host/forwarding.test.ts
@@ -58,3 +58,13 @@
     assert.deepEqual(report, { ...REPORT, trippedNearby })
   }
 })
+
+// Guards against an expected cost that is lost, or taken from a field that a later version uses otherwise.
+test('expected cost is an optional last field of the metadata', () => {
+  const [name = '', value = ''] = Forwarding.formatMetadata({
+    target: Decisions.Ids.targetId('t'), remaining: Decisions.Clock.milliseconds(900), latencyObjective: Decisions.Clock.milliseconds(400), objectiveRemaining: Decisions.Clock.milliseconds(300), priority: 1,
+    repeatable: true, mayBeProbe: true, mayQueue: true, mayBypassBreaker: false, callerService: Decisions.Ids.service('s'), route: 'r', account: undefined, isCall: true, expectation: { cost: 212, sizeClass: 9 }
+  })
+  assert.deepEqual(Forwarding.parseMetadata([name, value])?.expectation, { cost: 212, sizeClass: 9 })
+  for (const field of ['x', '0,1', '5', '5,-1']) assert.equal(Forwarding.parseMetadata([name, value.replace('212,9', field)])?.expectation, undefined, field)
+})
