--- a/packages/proxy/src/host/forwarding.ts
+++ b/packages/proxy/src/host/forwarding.ts
@@ -6,7 +6,10 @@
 import * as HostedRequests from './hosted-request.js'
 import * as TrailingFields from './trailing-field.js'
 
-/** Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1, names percent-encoded, `senderFraction` as a trailing `fraction=`. Further fields are ignored. */
+/**
+ * Metadata of a forwarded request: the members of `RequestMetadata` in order, separated by spaces, times in ms and booleans as 0 or 1, names percent-encoded;
+ * then fields of the form `key=value`, `fraction` for `senderFraction` and `cost` for `expectation` (cost and size class, separated by a comma). Further fields are ignored.
+ */
 const METADATA_HEADER = 'jasminedale-work'
 /** The host's report. */
 const REPORT_HEADER = 'jasminedale-host'
@@ -23,6 +26,7 @@
 
 const FIELD_COUNT = 13
 const SENDER_FRACTION = 'fraction'
+const EXPECTATION = 'cost'
 /** Digits of a fraction. */
 const FRACTION_DIGITS = 3
 /** Encodes an absent account. */
@@ -51,6 +55,7 @@
   readonly account: Decisions.Ids.Account | undefined
   readonly isCall: boolean
   readonly senderFraction?: number
+  readonly expectation?: HostedRequests.Expectation | undefined
 }
 
 export function formatMetadata (metadata: RequestMetadata): string[] {
@@ -59,7 +64,11 @@
     Number(metadata.repeatable), Number(metadata.mayBeProbe), Number(metadata.mayQueue), Number(metadata.mayBypassBreaker), metadata.callerService,
     encodeURIComponent(metadata.route), metadata.account === undefined ? NO_ACCOUNT : `=${encodeURIComponent(metadata.account)}`, Number(metadata.isCall)
   ]
-  const trailing = metadata.senderFraction === undefined ? [] : [`${SENDER_FRACTION}=${metadata.senderFraction.toFixed(FRACTION_DIGITS)}`]
+  const { senderFraction, expectation } = metadata
+  const trailing = [
+    ...senderFraction === undefined ? [] : [`${SENDER_FRACTION}=${senderFraction.toFixed(FRACTION_DIGITS)}`],
+    ...expectation === undefined ? [] : [`${EXPECTATION}=${Math.round(expectation.cost)},${expectation.sizeClass}`]
+  ]
   return [METADATA_HEADER, [...fields, ...trailing].join(' ')]
 }
 
@@ -85,10 +94,18 @@
     route: decode(route),
     account: account === NO_ACCOUNT ? undefined : Decisions.Ids.account(decode(account.slice(1))),
     isCall: isCall === '1',
-    ...(senderFraction === undefined ? {} : { senderFraction })
+    ...(senderFraction === undefined ? {} : { senderFraction }),
+    ...parseExpectation(TrailingFields.read(fields.slice(FIELD_COUNT), EXPECTATION))
   }
 }
 
+/** Nothing from nodes that do not place by cost, and when it is not valid. */
+function parseExpectation (text: string | undefined): Pick<RequestMetadata, 'expectation'> {
+  const [cost, sizeClass] = text?.split(',').map(Number) ?? []
+  if (cost === undefined || sizeClass === undefined || !(cost > 0) || !Number.isFinite(cost) || !Number.isInteger(sizeClass) || sizeClass < 0) return {}
+  return { expectation: { cost, sizeClass } }
+}
+
 /** A text that is not percent-encoded correctly is taken as it is. */
 function decode (text: string): string {
   try {
@@ -100,7 +117,8 @@
 
 /** The response of a host to the entry node. */
 export function formatOutcome (outcome: HostedRequests.Outcome, report: HostReports.HostReport): Exchanges.Response {
-  const state = [REPORT_HEADER, HostReports.format(report)]
+  const served = outcome.kind === 'answered' ? outcome.served : undefined
+  const state = [REPORT_HEADER, HostReports.format(report.work === undefined ? report : { ...report, work: { ...report.work, served } })]
   const body = Buffer.alloc(0)
   switch (outcome.kind) {
     case 'answered': {
--- a/packages/proxy/src/host/host-report.ts
+++ b/packages/proxy/src/host/host-report.ts
@@ -25,9 +25,22 @@
   readonly admissionFraction?: number
   /** Whether the route of the request to which the report answers consists of calls from the service of its entry node. */
   readonly isCallRoute?: true
+  /** Undefined from nodes that do not learn costs. */
+  readonly work?: WorkReport
+}
+
+/** Speed of the target and work that it has. */
+export interface WorkReport {
+  /** How many times longer the target takes than an average one for the same requests. */
+  readonly slowness: number
+  /** Expected rest of what runs and cost of what waits, in ms of an average target. */
+  readonly left: number
+  /** Service time in ms of the request that the report answers. */
+  readonly served: number | undefined
 }
 
 const FIELD_COUNT = 7
+const WORK = 'work'
 /** Encodes an undefined `timeUntilProbe`. */
 const NOT_TRIPPED = -1
 /** Encodes an empty list, since trailing white space of a header value is lost. */
@@ -36,25 +49,40 @@
 const CALL_ROUTE = 'calls'
 /** Digits of a fraction. */
 const FRACTION_DIGITS = 3
+const SLOWNESS_DIGITS = 3
 
 /** Fields separated by spaces, in fixed order, and then those of the form `key=value`; lists by commas. */
 export function format (report: HostReport): string {
-  const { running, queued, slots, timeUntilProbe, failures, serviceTime, version, trippedNearby, admissionFraction, isCallRoute } = report
+  const { running, queued, slots, timeUntilProbe, failures, serviceTime, version, trippedNearby, admissionFraction, isCallRoute, work } = report
   const fields = [running, queued, slots, Math.ceil(timeUntilProbe ?? NOT_TRIPPED), failures, Math.round(serviceTime), version]
   const neighbours = trippedNearby === undefined ? [] : [trippedNearby.length === 0 ? EMPTY_LIST : trippedNearby.join(',')]
   const trailing = [
     ...admissionFraction === undefined ? [] : [`${ADMISSION_FRACTION}=${admissionFraction.toFixed(FRACTION_DIGITS)}`],
-    ...isCallRoute === true ? [`${CALL_ROUTE}=1`] : []
+    ...isCallRoute === true ? [`${CALL_ROUTE}=1`] : [],
+    ...work === undefined ? [] : [formatWork(work)]
   ]
   return [...fields, ...neighbours, ...trailing].join(' ')
 }
 
+function formatWork ({ slowness, left, served }: WorkReport): string {
+  return `${WORK}=${slowness.toFixed(SLOWNESS_DIGITS)},${Math.round(left)},${served === undefined ? '' : Math.round(served)}`
+}
+
+/** Undefined without such a field, or when it is not valid. */
+function parseWork (text: string | undefined): WorkReport | undefined {
+  const [slowness, left, served] = text?.split(',') ?? []
+  const [ratio, work, time] = [slowness, left, served].map(value => value === undefined || value === '' ? NaN : Number(value))
+  if (ratio === undefined || work === undefined || !(ratio > 0) || !(work >= 0) || !Number.isFinite(ratio) || !Number.isFinite(work)) return undefined
+  return { slowness: ratio, left: work, served: time !== undefined && Number.isFinite(time) && time >= 0 ? time : undefined }
+}
+
 /** Undefined when the text is not a valid report. */
 export function parse (text: string | undefined): HostReport | undefined {
   const parts = text?.split(' ') ?? []
   const fields = parts.slice(0, FIELD_COUNT).map(Number)
   const [trippedNearby] = parts.slice(FIELD_COUNT, FIELD_COUNT + 1).filter(part => !TrailingFields.isTrailing(part))
   const admissionFraction = TrailingFields.readPositive(parts, ADMISSION_FRACTION)
+  const work = parseWork(TrailingFields.read(parts, WORK))
   const [running, queued, slots, timeUntilProbe, failures, serviceTime, version] = fields
   if (fields.length !== FIELD_COUNT || !fields.every(Number.isFinite)) return undefined
   if (running === undefined || queued === undefined || slots === undefined || timeUntilProbe === undefined) return undefined
@@ -69,6 +97,7 @@
     version: Decisions.Ids.version(version),
     ...(trippedNearby === undefined ? {} : { trippedNearby: trippedNearby === EMPTY_LIST ? [] : trippedNearby.split(',').map(Decisions.Ids.targetId) }),
     ...(admissionFraction === undefined ? {} : { admissionFraction }),
-    ...(TrailingFields.read(parts, CALL_ROUTE) === '1' ? { isCallRoute: true as const } : {})
+    ...(TrailingFields.read(parts, CALL_ROUTE) === '1' ? { isCallRoute: true as const } : {}),
+    ...(work === undefined ? {} : { work })
   }
 }
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -80,6 +80,7 @@
       account: metadata.account,
       isCall: metadata.isCall,
       ...(metadata.senderFraction === undefined ? {} : { senderFraction: metadata.senderFraction }),
+      expectation: metadata.expectation,
       repeatable: metadata.repeatable,
       mayBeProbe: metadata.mayBeProbe,
       priority: metadata.priority,
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -4,6 +4,7 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as Routes from '../routes/route.js'
 import * as BufferBudgets from '../transport/buffer-budget.js'
 import * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
@@ -49,6 +50,8 @@
   readonly targetAddress: Decisions.Ids.Endpoint
   /** Configuration version in force. */
   readonly version: () => Decisions.Ids.Version
+  /** Switches of the configuration in force; undefined before the first. */
+  readonly features?: () => Routes.CapacityFeatures | undefined
   /** Called after each failure, which trips the circuit breaker or keeps it tripped, and when it resets. */
   readonly onBreakerChanged: (target: Decisions.Ids.TargetId, report: HostReports.HostReport) => void
   /** Called with each response in which the target states that it is leaving. */
@@ -73,7 +76,7 @@
 
   constructor (dependencies: HostDependencies) {
     this.dependencies = dependencies
-    this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock)
+    this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock, dependencies.features)
     this.strippedHeaders = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
   }
 
@@ -110,7 +113,8 @@
       failures: this.circuitBreaker.failures,
       serviceTime: this.capacity.serviceTime.mean,
       version: this.dependencies.version(),
-      ...(admissionFraction === undefined ? {} : { admissionFraction })
+      ...(admissionFraction === undefined ? {} : { admissionFraction }),
+      ...(this.capacity.work === undefined ? {} : { work: this.capacity.work })
     }
   }
 
@@ -121,7 +125,7 @@
     const slotResult = await SlotAcquisitions.acquire(this.capacity, request, this.dependencies.dependencyControl)
     if (slotResult !== 'started') {
       this.circuitBreaker.recordInconclusive(admission)
-      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed)))
+      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed, slotResult === 'too-late' ? this.capacity.retryAfter(request) : 0)))
     }
     let wasSent = true
     try {
@@ -175,6 +179,8 @@
     const startedAt = this.dependencies.clock.now()
     const exchange = this.send(request, body, startedAt)
     const recordEnd = this.dependencies.dependencyControl?.recordStart(request)
+    const { costs } = this.capacity
+    const run = costs?.start(request, startedAt)
     const state = { isWithdrawn: false }
     request.onWithdrawn(() => {
       state.isWithdrawn = true
@@ -183,12 +189,13 @@
     const silenceTimer = setTimeout(() => { this.recordSilence(request, admission, startedAt) }, request.latencyObjective)
     const result = await exchange.result
     clearTimeout(silenceTimer)
+    if (run !== undefined) costs?.end(run)
     const elapsed = Decisions.Clock.between(startedAt, this.dependencies.clock.now())
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
     recordEnd?.(outcome.kind !== 'refused')
     this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
     this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(result))
-    return outcome
+    return outcome.kind === 'answered' && outcome.response.status < SERVER_ERROR && costs !== undefined ? { ...outcome, served: elapsed } : outcome
   }
 
   /** The refusal if the circuit breaker has tripped since the request was admitted. */
@@ -302,7 +309,7 @@
         }
         metrics.recordTargetRequest(isError ? 'error' : 'success', elapsed)
         if (!isError) {
-          this.capacity.serviceTime.add(elapsed)
+          this.capacity.recordServiceTime(request, elapsed, now)
           this.recordSuccess(request, admission)
           break
         }
@@ -314,7 +321,7 @@
       }
       case 'failed':
         metrics.recordTargetRequest(outcome.reason, elapsed)
-        if (outcome.reason === 'timed-out') this.capacity.serviceTime.addLowerBound(elapsed)
+        if (outcome.reason === 'timed-out') this.capacity.recordLowerBound(request, elapsed, now)
         // A deadline shorter than the latency objective says nothing about the target.
         if (outcome.reason === 'timed-out' && elapsed < request.latencyObjective) this.circuitBreaker.recordInconclusive(admission)
         else this.recordFailure(request, admission)
@@ -325,7 +332,7 @@
         break
       case 'withdrawn':
         metrics.recordTargetRequest('withdrawn', elapsed)
-        this.capacity.serviceTime.addLowerBound(elapsed)
+        this.capacity.recordLowerBound(request, elapsed, now)
         this.circuitBreaker.recordInconclusive(admission)
         break
     }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -1,6 +1,7 @@
 /** One proxy node: sends requests of the callers on its VM to targets, and passes requests of all nodes to the backend server on its VM. */
 import * as Decisions from '@jasminedale/decisions'
 import * as Awilix from 'awilix'
+import * as ServiceCosts from './costs/service-costs.js'
 import * as Delays from './delay.js'
 import * as DependencyControls from './dependencies/dependency-control.js'
 import * as Directories from './directory/directory.js'
@@ -53,6 +54,8 @@
   readonly settingsState: SettingsStates.SettingsState
   readonly localTarget: LocalTargets.LocalTarget
   readonly views: HostViews.HostViews
+  /** Undefined while the configuration does not place requests by cost. */
+  readonly costs: () => ServiceCosts.ServiceCosts | undefined
   readonly connections: ConnectionPools.ConnectionPool
   readonly nodeChannel: NodeChannels.NodeChannel
   readonly nodeRpc: NodeRpcs.NodeRpc
@@ -200,6 +203,7 @@
     random: Awilix.asFunction(createRandom).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
+    costs: Awilix.asFunction(createCosts).singleton(),
     connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
     nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
     nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
@@ -207,7 +211,7 @@
     dependencyControl: Awilix.asClass(DependencyControls.DependencyControl).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
       clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine, dependencyControl: cradle.dependencyControl,
-      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
+      targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version, features: () => cradle.configuration.current?.features,
       onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) },
       onTargetLeaving: target => { void cradle.membership.recordLeaving(target) }
     })).singleton(),
@@ -216,7 +220,7 @@
     targetSelector: Awilix.asFunction((cradle: Cradle) => new TargetSelectors.TargetSelector(cradle.settings.location, cradle.views, cradle.random)).singleton(),
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
-      clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
+      clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, costs: cradle.costs, directory: cradle.directory, dialect: cradle.dialect,
       connections: cradle.connections, dependencyControl: cradle.dependencyControl, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
@@ -243,6 +247,11 @@
   }
 }
 
+function createCosts ({ configuration }: Cradle): () => ServiceCosts.ServiceCosts | undefined {
+  const costs = new ServiceCosts.ServiceCosts()
+  return () => configuration.current?.features.placesByCost === true ? costs : undefined
+}
+
 function createRandom ({ settings }: Cradle): Decisions.Random.Random {
   return new Decisions.Random.Random(Decisions.Rendezvous.hash(`${settings.node} ${process.pid} ${process.hrtime.bigint()}`))
 }
