test(proxy): replay a slow host and long requests in a burst

A test makes one of six hosts six times slower in a burst to 1.7, with 3 in 100 requests long.

Ruled out: letting calls use 98 % of the slots with a queue of 300 ms instead of 95 % and 150 ms.

--- a/packages/proxy/tests/dependencies/bottleneck.test.ts
+++ b/packages/proxy/tests/dependencies/bottleneck.test.ts
@@ -91,3 +91,16 @@
   assert.ok(counts.failed <= 0.02 * counts.started, describe(counts))
   assert.ok(counts.utilization > 0.9, describe(counts))
 })
+
+// Guards against failed parents and idle slots when one host of the called service becomes six times slower and 3 in 100 of its requests take seven times as long (R8).
+test('host of the called service becomes slow in a burst', () => {
+  const load = new Bottlenecks.BottleneckLoad({ parentHosts: 49, isThinned: true, longShare: 0.03, ...burstOf(1.7, 6, 11.4) })
+  load.runUntil(BURST_BEGINS + 2_000)
+  for (const host of load.called.slice(0, 1)) host.slowness = 6
+  const counts = load.runUntil(BURST_ENDS)
+  assert.ok(counts.failed <= 0.02 * counts.started, describe(counts))
+  assert.ok(counts.utilization > 0.85, describe(counts))
+  assert.ok(counts.directFinished > 0.3 * counts.direct, describe(counts))
+  load.runUntil(BURST_ENDS + 8_000)
+  assert.ok(load.fraction > 0.9, `fraction after the burst: ${load.fraction}`)
+})
--- a/packages/proxy/tests/support/bottleneck.ts
+++ b/packages/proxy/tests/support/bottleneck.ts
@@ -12,6 +12,7 @@
 /** Own work of a parent before its first call, between the calls, and after them. */
 const PARENT_STEP_MS = 100
 const PARENT_SLOTS = 8
+const LONG_FACTOR = 7
 const CALLS_PER_PARENT = 2
 const CALLING_SHARE = 0.7
 
@@ -24,6 +25,8 @@
   readonly directRate: (now: number) => number
   /** Account of the next parent. */
   readonly account?: (random: Decisions.Random.Random) => string
+  /** Share of the requests to the called service that take 7 times as long. */
+  readonly longShare?: number
   /** Whether reports of called hosts arrive. */
   readonly reportsArrive?: (now: number) => boolean
 }
@@ -48,6 +51,8 @@
 export class CalledHost {
   demand = new AdmissionFractions.AdmissionFraction()
   running = 0
+  /** Factor of the service times. */
+  slowness = 1
   readonly calls: Waiting[] = []
   readonly direct: Waiting[] = []
   private startsOfCalls = 0
@@ -59,8 +64,8 @@
   }
 
   offer (isCall: boolean, senderFraction: number, end: (isServed: boolean) => void): void {
-    const cost = isCall ? CALL_MS : DIRECT_MS
-    const ahead = isCall ? this.calls.length * CALL_MS : this.calls.length * CALL_MS + this.direct.length * DIRECT_MS
+    const cost = this.slowness * (isCall ? CALL_MS : DIRECT_MS)
+    const ahead = this.slowness * (this.calls.length * CALL_MS + (isCall ? 0 : this.direct.length * DIRECT_MS))
     const patience = isCall ? CALL_TIMEOUT_MS : DIRECT_WAIT_MS
     const isLate = this.running >= PARENT_SLOTS && ahead / PARENT_SLOTS + cost > patience
     this.demand.recordOffer({ isCall, senderFraction }, isLate, this.load.now)
@@ -74,7 +79,7 @@
     this.start()
   }
 
-  /** Loses its running and waiting requests and what it has learned. */
+  /** Loses its waiting requests and what it has learned. */
   restart (): void {
     for (const waiting of [...this.calls.splice(0), ...this.direct.splice(0)]) waiting.end(false)
     this.demand = new AdmissionFractions.AdmissionFraction()
@@ -87,17 +92,18 @@
       if (next === undefined) return
       this.startsOfCalls = next.isCall ? this.startsOfCalls + 1 : 0
       if (next.isCall) this.demand.recordWaiting(-1)
-      const cost = next.isCall ? CALL_MS : DIRECT_MS
-      if (this.load.now + cost > next.deadline) {
+      const expected = this.slowness * (next.isCall ? CALL_MS : DIRECT_MS)
+      if (this.load.now + expected > next.deadline) {
         next.end(false)
         continue
       }
       this.running += 1
+      const cost = expected * this.load.nextLength()
       this.load.after(cost, () => {
         this.running -= 1
         this.load.counts.work += cost
         this.demand.recordRun(next.isCall, cost)
-        next.end(true)
+        next.end(this.load.now <= next.deadline)
         this.start()
       })
     }
@@ -130,6 +136,11 @@
     return Decisions.Clock.milliseconds(this.time)
   }
 
+  /** Factor of the service time of the next request. */
+  nextLength (): number {
+    return this.random.fraction() < (this.settings.longShare ?? 0) ? LONG_FACTOR : 1
+  }
+
   after (delay: number, action: () => void): void {
     const at = Math.floor(this.time) + Math.max(1, Math.round(delay))
     const actions = this.events.get(at)
@@ -205,7 +216,7 @@
   private tryHosts (tries: number, isCall: boolean, senderFraction: number, parent: ParentHost | undefined, end: (isServed: boolean) => void): void {
     const [left, right] = [this.random.pick(this.called), this.random.pick(this.called)]
     if (left === undefined || right === undefined) return
-    const load = (host: CalledHost): number => host.running + host.calls.length + host.direct.length
+    const load = (host: CalledHost): number => (host.running + host.calls.length + host.direct.length + 1) * host.slowness
     const host = load(left) <= load(right) ? left : right
     host.offer(isCall, senderFraction, isServed => {
       this.report(host, parent)
