--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -14,6 +14,7 @@
 import * as CircuitBreakers from './circuit-breaker.js'
 import type * as HostReports from './host-report.js'
 import type * as LocalTargets from './local-target.js'
+import * as SlownessLogs from './slowness-log.js'
 import * as TargetCapacities from './target-capacity.js'
 import * as HostedRequests from './hosted-request.js'
 
@@ -64,6 +65,7 @@
   private readonly capacity: TargetCapacities.TargetCapacity
   private readonly connections = new ConnectionPools.ConnectionPool()
   private readonly responseBudget = new BufferBudgets.BufferBudget(RESPONSE_BUDGET_BYTES)
+  private readonly slownessLog: SlownessLogs.SlownessLog
   private isDraining = false
   /** When a request from this VM to another service last failed. */
   private lastFailedCallAt: Decisions.Clock.Milliseconds | undefined
@@ -73,6 +75,7 @@
   constructor (dependencies: HostDependencies) {
     this.dependencies = dependencies
     this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock, dependencies.features)
+    this.slownessLog = new SlownessLogs.SlownessLog(dependencies.log)
     this.strippedHeaders = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
   }
 
@@ -100,6 +103,7 @@
   report (): HostReports.HostReport {
     const now = this.dependencies.clock.now()
     const { work } = this.capacity
+    if (work !== undefined) this.observeWork(work)
     return {
       running: this.capacity.running,
       queued: this.capacity.queued,
@@ -112,6 +116,11 @@
     }
   }
 
+  private observeWork ({ slowness, left }: HostReports.WorkReport): void {
+    this.dependencies.metrics.setTargetWork(slowness, left)
+    this.slownessLog.observe(slowness, { target: this.dependencies.localTarget.announcement?.target, left: Math.round(left), running: this.capacity.running, queued: this.capacity.queued })
+  }
+
   /** Runs the request, or refuses it if the target cannot take it. */
   async run (request: HostedRequests.HostedRequest): Promise<HostedRequests.Outcome> {
     const admission = this.admit(request)
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -40,6 +40,14 @@
     name: 'jasminedale_target_limit_per_second', help: 'Requests per second that the local target takes, as it states; infinite without a limit.', registers: [this.registry]
   })
 
+  private readonly targetSlowness = new Prometheus.Gauge({
+    name: 'jasminedale_target_slowness', help: 'How many times longer the local target takes than an average one for the same requests.', registers: [this.registry]
+  })
+
+  private readonly targetWork = new Prometheus.Gauge({
+    name: 'jasminedale_target_work_seconds', help: 'Expected rest of what runs and cost of what waits at the local target, in seconds of an average target.', registers: [this.registry]
+  })
+
   private readonly storeCalls = new Prometheus.Counter({
     name: 'jasminedale_store_calls_total', help: 'Calls to the shared log.', labelNames: ['call', 'result'], registers: [this.registry]
   })
@@ -82,6 +90,12 @@
     this.targetLimit.set(limit ?? Infinity)
   }
 
+  /** Sets the speed of the local target and the work in ms that it has left. */
+  setTargetWork (slowness: number, left: number): void {
+    this.targetSlowness.set(slowness)
+    this.targetWork.set(left / MILLISECONDS_PER_SECOND)
+  }
+
   recordStoreCall (call: string, result: string): void {
     this.storeCalls.inc({ call, result })
   }
