--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -16,6 +16,7 @@
 import type * as HostReports from './host-report.js'
 import type * as LocalTargets from './local-target.js'
 import * as SlotAcquisitions from './slot-acquisition.js'
+import * as SlownessLogs from './slowness-log.js'
 import * as TargetCapacities from './target-capacity.js'
 import * as HostedRequests from './hosted-request.js'
 
@@ -68,6 +69,7 @@
   private readonly capacity: TargetCapacities.TargetCapacity
   private readonly connections = new ConnectionPools.ConnectionPool()
   private readonly responseBudget = new BufferBudgets.BufferBudget(RESPONSE_BUDGET_BYTES)
+  private readonly slownessLog: SlownessLogs.SlownessLog
   private isDraining = false
   /** When a request from this VM to another service last failed. */
   private lastFailedCallAt: Decisions.Clock.Milliseconds | undefined
@@ -77,6 +79,7 @@
   constructor (dependencies: HostDependencies) {
     this.dependencies = dependencies
     this.capacity = new TargetCapacities.TargetCapacity(dependencies.clock, dependencies.features)
+    this.slownessLog = new SlownessLogs.SlownessLog(dependencies.log)
     this.strippedHeaders = new Set([...dependencies.dialect.reservedFields, ...Forwarding.INTERNAL_HEADERS])
   }
 
@@ -105,6 +108,8 @@
   report (): HostReports.HostReport {
     const now = this.dependencies.clock.now()
     const admissionFraction = this.dependencies.dependencyControl?.fraction({ slots: this.capacity.slotCount, rate: this.capacity.rate })
+    const { work } = this.capacity
+    if (work !== undefined) this.observeWork(work)
     return {
       running: this.capacity.running,
       queued: this.capacity.queued,
@@ -114,10 +119,15 @@
       serviceTime: this.capacity.serviceTime.mean,
       version: this.dependencies.version(),
       ...(admissionFraction === undefined ? {} : { admissionFraction }),
-      ...(this.capacity.work === undefined ? {} : { work: this.capacity.work })
+      ...(work === undefined ? {} : { work })
     }
   }
 
+  private observeWork ({ slowness, left }: HostReports.WorkReport): void {
+    this.dependencies.metrics.setTargetWork(slowness, left)
+    this.slownessLog.observe(slowness, { target: this.dependencies.localTarget.announcement?.target, left: Math.round(left), running: this.capacity.running, queued: this.capacity.queued })
+  }
+
   /** Runs the request, or refuses it if the target cannot take it. */
   async run (request: HostedRequests.HostedRequest): Promise<HostedRequests.Outcome> {
     const admission = this.checkDependencies(request) ?? this.admit(request)
