feat(proxy): quotas of client accounts over all nodes

Cause: an account's rate and burst were read from the configuration and enforced nowhere.

Change: each account with a limit has an arbiter, the first registered node by rendezvous hashing. Entries report what they were offered and admitted, as totals, so that lost, doubled and late reports change nothing; the arbiter answers with the fraction they may admit and their share of the limit. Entries thin by error diffusion. Unreported requests are charged in advance at the rate of the share. A request over the quota gets 429 with Retry-After; requests that end as not run are given back.

--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -9,6 +9,7 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as Quotas from '../quotas/quotas.js'
 import type * as DestinationChoosers from '../routes/destination-chooser.js'
 import type * as Routes from '../routes/route.js'
 import type * as Settings from '../settings.js'
@@ -37,6 +38,7 @@
 /** Status by the code of the HTTP library's error. */
 const MALFORMED_STATUSES: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408, [TUNNEL_REQUESTED]: 501 }
 const STATUS_TOO_LARGE = 413
+const STATUS_TOO_MANY_REQUESTS = 429
 const SERVER_ERROR = 500
 const STATUS_BAD_GATEWAY = 502
 const STATUS_UNAVAILABLE = 503
@@ -53,6 +55,7 @@
   readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
   readonly quarantine: Pick<Quarantines.Quarantine, 'recordBlock' | 'blockedFor'>
+  readonly quotas: Pick<Quotas.Quotas, 'admit' | 'giveBack'>
   readonly settings: Pick<Settings.ProxySettings, 'service' | 'revocation'>
 }
 
@@ -178,6 +181,11 @@
       await this.reject(inbound, { status: STATUS_UNAVAILABLE, reason: 'no-target', retryAfter: STARTING_RETRY_AFTER_MS })
       return
     }
+    const retryAfter = this.dependencies.quotas.admit(account)
+    if (retryAfter !== undefined) {
+      await this.reject(inbound, { status: STATUS_TOO_MANY_REQUESTS, reason: 'quota-exceeded', retryAfter })
+      return
+    }
     if (route.destinations.length > 1) this.dependencies.metrics.recordSplit(route.name, service)
     const connection = this.connections.of(request.socket)
     await this.dispatch(inbound, {
@@ -261,6 +269,7 @@
     const ignoreClose = this.connections.of(inbound.request.socket).whenClosed(() => { dispatch.abandon() })
     const answer = await dispatch.answer
     ignoreClose()
+    if (answer.kind === 'not-run') this.dependencies.quotas.giveBack(entry.account)
     // Callers include the backend server on this VM. If a call of its own fails, it may respond with an error that is not its fault.
     if (entry.service !== this.dependencies.settings.service && !isServed(answer)) this.dependencies.host.recordFailedCall()
     const elapsed = Math.round(this.dependencies.clock.now() - entry.arrivedAt)
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -40,6 +40,18 @@
     name: 'jasminedale_target_limit_per_second', help: 'Requests per second that the local target takes, as it states; infinite without a limit.', registers: [this.registry]
   })
 
+  private readonly quotaRefusals = new Prometheus.Counter({
+    name: 'jasminedale_quota_refusals_total', help: 'Requests over the quota of their client account, by whether the arbiter or this entry alone decided.', labelNames: ['rule'], registers: [this.registry]
+  })
+
+  private readonly quotaMessages = new Prometheus.Counter({
+    name: 'jasminedale_quota_messages_total', help: 'Notifications about quotas that this node sent.', labelNames: ['method'], registers: [this.registry]
+  })
+
+  private readonly limitedAccounts = new Prometheus.Gauge({
+    name: 'jasminedale_limited_accounts', help: 'Client accounts arbitrated by this node that exceed their limits.', registers: [this.registry]
+  })
+
   private readonly storeCalls = new Prometheus.Counter({
     name: 'jasminedale_store_calls_total', help: 'Calls to the shared log.', labelNames: ['call', 'result'], registers: [this.registry]
   })
@@ -82,6 +94,18 @@
     this.targetLimit.set(limit ?? Infinity)
   }
 
+  recordQuotaRefusal (rule: string): void {
+    this.quotaRefusals.inc({ rule })
+  }
+
+  recordQuotaMessage (method: string): void {
+    this.quotaMessages.inc({ method })
+  }
+
+  setLimitedAccounts (count: number): void {
+    this.limitedAccounts.set(count)
+  }
+
   recordStoreCall (call: string, result: string): void {
     this.storeCalls.inc({ call, result })
   }
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -16,6 +16,7 @@
 import type * as Logs from './observation/log.js'
 import type * as Metrics from './observation/metrics.js'
 import * as Quarantines from './quarantine/quarantine.js'
+import * as Quotas from './quotas/quotas.js'
 import * as DestinationChoosers from './routes/destination-chooser.js'
 import * as Servers from './servers.js'
 import type * as Settings from './settings.js'
@@ -65,6 +66,7 @@
   readonly retryBudget: RetryBudgets.RetryBudget
   readonly sender: Senders.Sender
   readonly destinationChooser: DestinationChoosers.DestinationChooser
+  readonly quotas: Quotas.Quotas
   readonly gateway: Gateways.Gateway
   readonly registrar: Registrars.Registrar
   readonly registrationRecovery: RegistrationRecoveries.RegistrationRecovery
@@ -109,8 +111,9 @@
   }
 
   async start (): Promise<void> {
-    const { servers, nodeChannel, sharedLog, synchronizer, log, settings } = this.components
+    const { servers, nodeChannel, sharedLog, synchronizer, quotas, log, settings } = this.components
     await Promise.all([servers.open(), nodeChannel.open()])
+    quotas.start()
     sharedLog.start()
     synchronizer.start()
     log.info('node started', { service: settings.service, dataCenter: settings.location.dataCenter, region: settings.location.region, host: settings.location.host })
@@ -180,7 +183,8 @@
 
   /** Closes the node at once and aborts all requests in flight. */
   close (): void {
-    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections } = this.components
+    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections, quotas } = this.components
+    quotas.stop()
     synchronizer.stop()
     registrar.stop()
     sharedLog.close()
@@ -217,6 +221,7 @@
       connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
+    quotas: Awilix.asClass(Quotas.Quotas).singleton(),
     gateway: Awilix.asClass(Gateways.Gateway).singleton(),
     servers: Awilix.asClass(Servers.Servers).singleton()
   })
