feat(proxy): quotas hold while entries, arbiters and links fail

The second arbiter wiped the shares it was to divide with its notices, and refused most of an account below its limit.

Change: a fraction below 1 that is not repeated for 2.5 s counts as silence; an account that was thinned is not let off at once; unused requests of entries that come back only offset what others used beyond their shares; notices carry no share; an arbiter that does not regard itself as first starts without burst; reports carry recent counts for an arbiter that does not know the entry, and the version of the limit.

--- a/packages/proxy/src/quotas/arbiter.ts
+++ b/packages/proxy/src/quotas/arbiter.ts
@@ -21,6 +21,7 @@
 const NOTICED_RISE = 1.25
 /** Interval at which the fraction of a limited account is repeated. */
 const REPEAT_INTERVAL_MS = 1_000
+const RECOVERY_REPEATS = 3
 const SWEEP_INTERVAL_MS = 250
 /** Nodes beyond its entries that are told of a limited account. Each would admit its first request, which together exceeds the slack. */
 const UNKNOWN_NODES_MAXIMUM = 300
@@ -29,6 +30,7 @@
 
 export interface ArbiterOptions {
   readonly settings: Settings.QuotaSettings
+  readonly own: Decisions.Ids.Endpoint
   /** The nodes that are registered as ready. */
   readonly ranking: () => ArbiterRankings.ArbiterRanking
   /** Whether a node is registered, in whatever state before its end. */
@@ -50,11 +52,14 @@
 }
 
 interface Arbitrated {
+  readonly role: QuotaMessages.Role
   readonly name: Decisions.Ids.Account
   readonly account: ArbiterAccounts.ArbiterAccount
   /** Fraction of the last notice to all entries. */
   noticedFraction: number
   noticedAt: number
+  /** Notices left to send after the account has fallen below its limit, since any may be lost. */
+  repeats: number
   isLimited: boolean
   /** When the fraction was last below 1. */
   limitedAt: number
@@ -98,11 +103,12 @@
       const fraction = account.fraction(now)
       this.updateLimited(arbitrated, fraction, now)
       if (!isNoticeDue(arbitrated, fraction, now)) continue
+      arbitrated.repeats = fraction < 1 ? RECOVERY_REPEATS : arbitrated.repeats - 1
       arbitrated.noticedFraction = fraction
       arbitrated.noticedAt = now
-      for (const host of this.recipients(account)) {
+      for (const host of this.recipients(arbitrated)) {
         const items = byHost.get(host) ?? []
-        items.push(account.notice(name, host, fraction))
+        items.push({ account: name, fraction })
         byHost.set(host, items)
       }
     }
@@ -110,21 +116,22 @@
   }
 
   /** Entries of the account. With fewer requests than nodes, most requests come through nodes that are not among them yet. */
-  private recipients (account: ArbiterAccounts.ArbiterAccount): Iterable<Decisions.Ids.Endpoint> {
+  private recipients ({ account, role }: Arbitrated): Iterable<Decisions.Ids.Endpoint> {
     const { size, hosts } = this.options.ranking()
-    return account.rate > size || size > UNKNOWN_NODES_MAXIMUM ? account.hosts : new Set([...account.hosts, ...hosts])
+    return role === 'second' || account.rate > size || size > UNKNOWN_NODES_MAXIMUM ? account.hosts : new Set([...account.hosts, ...hosts])
   }
 
   private arbitrated (role: QuotaMessages.Role, item: QuotaMessages.ReportItem, now: Decisions.Clock.Milliseconds): Arbitrated {
     const key = `${role} ${item.account}`
     const known = this.accounts.get(key)
     if (known !== undefined) return known
-    const { settings } = this.options
-    // Before that, an earlier process of this node may have given out the burst within the same window.
-    const hasBurst = role === 'first' && now - this.startedAt >= settings.window
+    const { settings, own, ranking } = this.options
+    // Nodes may disagree for seconds on which of them are registered; then another arbiter has this account too.
+    const isExpected = ranking().of(item.account).first === own
+    const isRestarted = now - this.startedAt < settings.window
     const arbitrated: Arbitrated = {
-      name: item.account, account: new ArbiterAccounts.ArbiterAccount(item, { settings, role, hasBurst }, now),
-      noticedFraction: 1, noticedAt: -Infinity, isLimited: false, limitedAt: -Infinity
+      role, name: item.account, account: new ArbiterAccounts.ArbiterAccount(item, { settings, role, isExpected, isRestarted, nodes: () => ranking().size }, now),
+      noticedFraction: 1, noticedAt: -Infinity, repeats: 0, isLimited: false, limitedAt: -Infinity
     }
     this.accounts.set(key, arbitrated)
     return arbitrated
@@ -157,9 +164,9 @@
   }
 }
 
-function isNoticeDue ({ noticedFraction, noticedAt }: Arbitrated, fraction: number, now: Decisions.Clock.Milliseconds): boolean {
+function isNoticeDue ({ noticedFraction, noticedAt, repeats }: Arbitrated, fraction: number, now: Decisions.Clock.Milliseconds): boolean {
   const age = now - noticedAt
   if (age < NOTICE_INTERVAL_MS) return false
   const hasChanged = fraction < noticedFraction * NOTICED_FALL || fraction > noticedFraction * NOTICED_RISE || (fraction === 1 && noticedFraction < 1)
-  return hasChanged || (fraction < 1 && age >= REPEAT_INTERVAL_MS)
+  return hasChanged || ((fraction < 1 || repeats > 0) && age >= REPEAT_INTERVAL_MS)
 }
--- a/packages/proxy/src/quotas/entry-account.ts
+++ b/packages/proxy/src/quotas/entry-account.ts
@@ -4,7 +4,7 @@
  * Load pattern: demand that jumps five-fold within 100 ms, and traffic that moves between entries. An entry has no credit of
  * its own while the arbiter answers, so that any entry can use the burst; it reports early when its own requests jump.
  */
-import type * as Decisions from '@jasminedale/decisions'
+import * as Decisions from '@jasminedale/decisions'
 import type * as Accounts from '../accounts/account.js'
 import type * as Settings from '../settings.js'
 import * as FallbackBuckets from './fallback-bucket.js'
@@ -21,8 +21,8 @@
 const IDLE_REPORT_INTERVAL_MS = 500
 /** Time without requests after which an entry gives up its share. */
 const SHARE_HELD_MS = 4_000
-/** Time for which a fraction holds. While an account is limited, its arbiter repeats the fraction each second. */
-const FRACTION_VALID_MS = 3_500
+/** While an account is limited, its arbiter repeats the fraction each second. Without a repetition for this time, the arbiter is silent. */
+const FRACTION_VALID_MS = 2_500
 /** Requests since the last report, in multiples of the expected ones, that are reported early. */
 const EARLY_REPORT_RATIO = 2
 const EARLY_REPORT_MINIMUM = 2
@@ -61,7 +61,7 @@
   /** Requests a second of this entry, as last reported. */
   private rate = 0
   private fraction = 1
-  private fractionUntil = -Infinity
+  private fractionUntil = Infinity
   private share = 0
   private reportedAt = -Infinity
   private hasUnreportedRelease = false
@@ -84,9 +84,9 @@
     this.requestedAt = now
     // The entry takes up its share again before the arbiter has heard that it gave it up.
     this.hasUnreportedRelease = false
-    const isAlone = (context.isArbiterSilent || this.isUnanswered(SILENCE_MS, now)) && now - this.secondAnsweredAt > SILENCE_MS
+    const isAlone = (context.isArbiterSilent || this.isUnanswered(SILENCE_MS, now) || this.isOutdated(now)) && now - this.secondAnsweredAt > SILENCE_MS
     if (!isAlone) this.bucket = undefined
-    const isAdmitted = isAlone ? this.admitsAlone(context, now) : this.thinning.admits(now < this.fractionUntil ? this.fraction : 1)
+    const isAdmitted = isAlone ? this.admitsAlone(context, now) : this.thinning.admits(this.fraction)
     if (isAdmitted) this.admitted += 1
     return { rule: isAlone ? 'fallback' : 'fraction', retryAfter: isAdmitted ? undefined : this.retryAfter(context) }
   }
@@ -98,8 +98,13 @@
     this.bucket?.giveBack()
   }
 
+  /** Whether the account was limited when its arbiter was last heard, too long ago. */
+  private isOutdated (now: Decisions.Clock.Milliseconds): boolean {
+    return this.fraction < 1 && now >= this.fractionUntil
+  }
+
   private admitsAlone (context: EntryContext, now: Decisions.Clock.Milliseconds): boolean {
-    this.bucket ??= new FallbackBuckets.FallbackBucket(now)
+    this.bucket ??= new FallbackBuckets.FallbackBucket(Decisions.Clock.milliseconds(Math.min(now, this.fractionUntil)))
     return this.bucket.admits(this.ownRate(context), this.limit.burst * this.share, now)
   }
 
@@ -116,7 +121,7 @@
 
   /** Whether a report cannot wait for the next interval: the arbiter does not know of this entry yet, or requests have jumped. */
   isUrgent (now: Decisions.Clock.Milliseconds): boolean {
-    if (this.offered === this.reportedOffered || (this.fraction < 1 && now < this.fractionUntil)) return false
+    if (this.offered === this.reportedOffered || (this.fraction < 1 && !this.isOutdated(now))) return false
     if (this.reportedAt === -Infinity) return true
     const expected = this.rate * (now - this.reportedAt) / MILLISECONDS_PER_SECOND
     return this.offered - this.reportedOffered > EARLY_REPORT_RATIO * expected + EARLY_REPORT_MINIMUM
@@ -147,16 +152,18 @@
     const elapsed = Math.min(now - this.reportedAt, IDLE_REPORT_INTERVAL_MS)
     if (elapsed > 0) this.rate += RATE_WEIGHT * ((this.offered - this.reportedOffered) * MILLISECONDS_PER_SECOND / elapsed - this.rate)
     if (this.rate < 1 && this.offered === this.reportedOffered) this.rate = 0
-    this.reportedOffered = this.offered
-    this.reportedAdmitted = this.admitted
+    const { name, limit: { rate, burst, version }, offered, admitted, share } = this
+    const item = { account: name, rate, burst, offered, admitted, share, version, recentlyOffered: offered - this.reportedOffered, recentlyAdmitted: admitted - this.reportedAdmitted }
+    this.reportedOffered = offered
+    this.reportedAdmitted = admitted
     this.reportedAt = now
     this.unansweredSince ??= now
-    return { account: this.name, rate: this.limit.rate, burst: this.limit.burst, offered: this.offered, admitted: this.admitted, share: this.share, version: this.limit.version }
+    return item
   }
 
-  /** Whether the second arbiter is to be asked too. */
-  asksSecond (now: Decisions.Clock.Milliseconds): boolean {
-    return this.isUnanswered(SECOND_ASKED_MS, now)
+  /** Whether the second arbiter is to be asked too. Where entries keep no shares it would have nothing to divide. */
+  asksSecond (settings: Settings.QuotaSettings, now: Decisions.Clock.Milliseconds): boolean {
+    return this.isUnanswered(SECOND_ASKED_MS, now) && !QuotaBudgets.fitsSlack(this.limit, settings)
   }
 
   private isUnanswered (duration: number, now: Decisions.Clock.Milliseconds): boolean {
@@ -165,12 +172,12 @@
 
   recordAnswer ({ fraction, share }: QuotaMessages.AnswerItem, role: QuotaMessages.Role, now: Decisions.Clock.Milliseconds): void {
     if (role === 'first') this.unansweredSince = undefined
-    else if (!this.asksSecond(now)) return
+    else if (!this.isUnanswered(SECOND_ASKED_MS, now)) return
     else this.secondAnsweredAt = now
     this.fraction = fraction
     this.fractionUntil = now + FRACTION_VALID_MS
     // A share that arrives after the release would never be given up.
-    if (this.hasUnreportedRelease && share > 0) return
+    if (share === undefined || (this.hasUnreportedRelease && share > 0)) return
     this.hasUnreportedRelease = false
     this.share = share
   }
--- a/packages/proxy/src/quotas/entry-quotas.ts
+++ b/packages/proxy/src/quotas/entry-quotas.ts
@@ -133,7 +133,7 @@
     tracked.peer.accounts.add(tracked)
     this.tracked.set(name, tracked)
     const notice = this.notices.get(name)
-    if (notice?.from === first) tracked.account.recordNotice(notice.item.fraction, notice.at)
+    if (notice?.from === first && now - notice.at < ACCOUNT_KEPT_MS) tracked.account.recordNotice(notice.item.fraction, notice.at)
     this.notices.delete(name)
     return tracked
   }
@@ -163,7 +163,7 @@
     const items = new Map(due.map(tracked => [tracked, tracked.account.report(now)]))
     const outgoing = this.messages(peer.host, 'first', [...items.values()])
     const bySecond = new Map<Decisions.Ids.Endpoint, QuotaMessages.ReportItem[]>()
-    for (const [{ account, second }, item] of items) if (second !== undefined && account.asksSecond(now)) bySecond.set(second, [...bySecond.get(second) ?? [], item])
+    for (const [{ account, second }, item] of items) if (second !== undefined && account.asksSecond(this.options.settings, now)) bySecond.set(second, [...bySecond.get(second) ?? [], item])
     return [...outgoing, ...[...bySecond].flatMap(([second, parts]) => this.messages(second, 'second', parts))]
   }
 
--- a/packages/proxy/src/quotas/quota-budget.ts
+++ b/packages/proxy/src/quotas/quota-budget.ts
@@ -10,7 +10,9 @@
 const TOLERANCE_RATIO = 0.25
 const TOLERANCE_MAXIMUM = 10
 /** Share of overshoot and slack for entries that hold no share and cannot ask for one. */
-const RESERVE_RATIO = 0.5
+const RESERVE_RATIO = 0.25
+/** The same for accounts whose entries never keep shares. */
+const SHARELESS_RESERVE_RATIO = 0.8
 
 /** Requests of an account within a window. A greater debt than this says nothing about the next window. */
 export function windowQuota ({ rate, burst }: Accounts.AccountRateLimit, { window }: Settings.QuotaSettings): number {
@@ -27,8 +29,10 @@
 }
 
 /** Requests a second of all entries together that hold no share; no arbiter accounts for them while they are cut off. */
-export function unsharedRate ({ rate }: Accounts.AccountRateLimit, { window, overshoot, slack }: Settings.QuotaSettings): number {
-  return Math.min(rate, RESERVE_RATIO * (overshoot * rate + slack * MILLISECONDS_PER_SECOND / window))
+export function unsharedRate (limit: Accounts.AccountRateLimit, settings: Settings.QuotaSettings): number {
+  const { window, overshoot, slack } = settings
+  const ratio = fitsSlack(limit, settings) ? SHARELESS_RESERVE_RATIO : RESERVE_RATIO
+  return Math.min(limit.rate, ratio * (overshoot * limit.rate + slack * MILLISECONDS_PER_SECOND / window))
 }
 
 /** Whether all requests of the account within a window fit the slack, so that its entries need no shares when they are cut off. */
--- a/packages/proxy/src/quotas/quota-message.ts
+++ b/packages/proxy/src/quotas/quota-message.ts
@@ -15,6 +15,9 @@
   readonly share: number
   /** Version of the configuration that states the limit. */
   readonly version: number
+  /** Offered and admitted since the report before, for an arbiter that has not heard of this entry. */
+  readonly recentlyOffered: number
+  readonly recentlyAdmitted: number
 }
 
 /** `first` arbitrates the whole limit; `second` only the shares that its reporters bring. */
@@ -38,8 +41,8 @@
   readonly account: Decisions.Ids.Account
   /** Share of its requests that the entry may admit. */
   readonly fraction: number
-  /** Share of the limit that the entry may use while it gets no answer. */
-  readonly share: number
+  /** Share of the limit that the entry may use while it gets no answer. Without it, the entry keeps the share that it has. */
+  readonly share?: number
 }
 
 export interface Answer extends Header {
@@ -53,15 +56,15 @@
 const count = zod.number().nonnegative()
 const share = zod.number().min(0).max(1)
 const header = [zod.string().regex(/^.+:\d+$/), zod.number(), count] as const
-const reportSchema = zod.tuple([...header, zod.enum(['first', 'second']), zod.array(zod.tuple([zod.string().min(1), zod.number().positive(), count, zod.number(), zod.number(), share, count], zod.unknown()))], zod.unknown())
-const answerSchema = zod.tuple([...header, zod.array(zod.tuple([zod.string().min(1), share, share], zod.unknown()))], zod.unknown())
+const reportSchema = zod.tuple([...header, zod.enum(['first', 'second']), zod.array(zod.tuple([zod.string().min(1), zod.number().positive(), count, zod.number(), zod.number(), share, count, zod.number(), zod.number()], zod.unknown()))], zod.unknown())
+const answerSchema = zod.tuple([...header, zod.array(zod.tuple([zod.string().min(1), share, share.optional()], zod.unknown()))], zod.unknown())
 
 export function encodeReport ({ from, incarnation, sequence, role, items }: Report): readonly unknown[] {
-  return [from, incarnation, sequence, role, items.map(item => [item.account, item.rate, item.burst, item.offered, item.admitted, item.share, item.version])]
+  return [from, incarnation, sequence, role, items.map(item => [item.account, item.rate, item.burst, item.offered, item.admitted, item.share, item.version, item.recentlyOffered, item.recentlyAdmitted])]
 }
 
 export function encodeAnswer ({ from, incarnation, sequence, items }: Answer): readonly unknown[] {
-  return [from, incarnation, sequence, items.map(item => [item.account, round(item.fraction), round(item.share)])]
+  return [from, incarnation, sequence, items.map(({ account, fraction, share: told }) => [account, round(fraction), ...told === undefined ? [] : [round(told)]])]
 }
 
 export function decodeReport (params: readonly unknown[]): Report | undefined {
@@ -70,7 +73,8 @@
   const [from, incarnation, sequence, role, items] = read
   return {
     from: Decisions.Ids.endpoint(from), incarnation, sequence, role,
-    items: items.map(([account, rate, burst, offered, admitted, held, version]) => ({ account: Decisions.Ids.account(account), rate, burst, offered, admitted, share: held, version }))
+    items: items.map(([account, rate, burst, offered, admitted, held, version, recentlyOffered, recentlyAdmitted]) => (
+      { account: Decisions.Ids.account(account), rate, burst, offered, admitted, share: held, version, recentlyOffered, recentlyAdmitted }))
   }
 }
 
@@ -78,7 +82,7 @@
   const read = answerSchema.safeParse(params).data
   if (read === undefined) return undefined
   const [from, incarnation, sequence, items] = read
-  return { from: Decisions.Ids.endpoint(from), incarnation, sequence, items: items.map(([account, fraction, told]) => ({ account: Decisions.Ids.account(account), fraction, share: told })) }
+  return { from: Decisions.Ids.endpoint(from), incarnation, sequence, items: items.map(([account, fraction, told]) => ({ account: Decisions.Ids.account(account), fraction, ...told === undefined ? {} : { share: told } })) }
 }
 
 /** Divides items so that each part fits one datagram. */
--- a/packages/proxy/src/quotas/quotas.ts
+++ b/packages/proxy/src/quotas/quotas.ts
@@ -55,7 +55,7 @@
       onSilence: (arbiter, isSilent) => { this.logChange(isSilent ? 'arbiter of client accounts does not answer' : 'arbiter of client accounts answers again', { arbiter }) }
     }, this.ranking)
     this.arbiter = new Arbiters.Arbiter({
-      settings: quotas, ranking: () => this.ranking,
+      settings: quotas, own: location.host, ranking: () => this.ranking,
       isRegistered: host => (directory.newestAtHost(host)?.state ?? 'gone') !== 'gone',
       onLimited: (account, isLimited, { fraction, demand }) => {
         this.logChange(isLimited ? 'client account exceeds its limit' : 'client account is below its limit again', { account, fraction: QuotaMessages.round(fraction), demand: Math.round(demand) })
--- a/packages/proxy/tests/support/quota-fleet.ts
+++ b/packages/proxy/tests/support/quota-fleet.ts
@@ -59,7 +59,7 @@
     const settings = Samples.LIMIT_SETTINGS.quotas
     const incarnation = this.now + 1
     const entry = new EntryQuotas.EntryQuotas({ settings, own: host, incarnation, onSilence: () => { /* Not checked. */ } }, this.ranking())
-    const arbiter = new Arbiters.Arbiter({ settings, isRegistered: () => true, ranking: () => this.ranking(), onLimited: () => { /* Not checked. */ } }, Decisions.Clock.milliseconds(this.now))
+    const arbiter = new Arbiters.Arbiter({ settings, own: host, isRegistered: () => true, ranking: () => this.ranking(), onLimited: () => { /* Not checked. */ } }, Decisions.Clock.milliseconds(this.now))
     this.nodes[index] = { host, entry, arbiter, incarnation, sequence: 0 }
   }
 
@@ -67,8 +67,17 @@
     this.nodes[index] = undefined
   }
 
+  rankingOf (hosts: readonly Decisions.Ids.Endpoint[]): ArbiterRankings.ArbiterRanking {
+    return new ArbiterRankings.ArbiterRanking(hosts, this.hosts[0] ?? assert.fail())
+  }
+
+  /** Number of accounts that entries and arbiters keep. */
+  get stateSize (): number {
+    return this.nodes.reduce((sum, node) => sum + (node === undefined ? 0 : node.entry.size + node.arbiter.size), 0)
+  }
+
   private ranking (): ArbiterRankings.ArbiterRanking {
-    this.wholeRanking ??= new ArbiterRankings.ArbiterRanking(this.hosts, this.hosts[0] ?? assert.fail())
+    this.wholeRanking ??= this.rankingOf(this.hosts)
     return this.wholeRanking
   }
 
