feat(proxy): one owner for the memory of bodies and for connections

Cause: each body was bounded alone, by 64 MiB, and read as a list of the library's chunks, which take several hundred bytes each beside their content; the list was joined at the end, which doubled it. Nothing counted bodies, heads, responses that wait for slow readers, or connections together.

Change: resources/memory-budget.ts decides, without I/O, what may grow and what is dropped for it: large bodies before small ones, and of these the one that has made no progress for longest. resources/memory.ts measures what the heap leaves, reads bodies into blocks of 64 KiB, which are used again as soon as a body is dropped, and passes large bodies on in these blocks. Complete large bodies count until the runtime has collected them; if the budget is used up, the collection is started, for at most 5 % of the time. A request whose body is dropped, or does not fit, gets 503, one that makes no progress for the idle timeout 408: neither was passed on. A length above the limit gets 413 without the body being read. A response that its reader does not take is dropped with its connection. resources/connections.ts keeps the number of inbound connections below the descriptors: the longest idle one goes first, then the longest stalled one. Connections to other nodes have a bound too. Small bodies stay one buffer, as before.

--- a/packages/proxy/src/entry/caller-connection.ts
+++ b/packages/proxy/src/entry/caller-connection.ts
@@ -1,10 +1,12 @@
 /** Order and end of a connection from a caller: which response is sent next, and which one closes the connection. No I/O. */
 
+import type * as Contents from '../resources/content.js'
+
 /** Response to a caller, before it is decided how the connection goes on. */
 export interface Reply {
   readonly status: number
   readonly fields: readonly string[]
-  readonly body: Buffer
+  readonly body: Contents.Content
   /** Whether the end of the body is known. Otherwise the body ends with the connection. */
   readonly isFramed: boolean
 }
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -9,6 +9,9 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as BodyReaders from '../resources/body-reader.js'
+import type * as Contents from '../resources/content.js'
+import type * as Memories from '../resources/memory.js'
 import type * as DestinationChoosers from '../routes/destination-chooser.js'
 import type * as Routes from '../routes/route.js'
 import type * as Settings from '../settings.js'
@@ -36,6 +39,7 @@
 export const TUNNEL_REQUESTED = 'tunnel-requested'
 /** Status by the code of the HTTP library's error. */
 const MALFORMED_STATUSES: Readonly<Record<string, number>> = { HPE_HEADER_OVERFLOW: 431, ERR_HTTP_REQUEST_TIMEOUT: 408, [TUNNEL_REQUESTED]: 501 }
+const STATUS_REQUEST_TIMEOUT = 408
 const STATUS_TOO_LARGE = 413
 const SERVER_ERROR = 500
 const STATUS_BAD_GATEWAY = 502
@@ -49,6 +53,7 @@
   readonly dialect: Dialects.Dialect
   readonly log: Logs.Log
   readonly metrics: Metrics.Metrics
+  readonly memory: Memories.Memory
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly destinationChooser: DestinationChoosers.DestinationChooser
   readonly host: Pick<Hosts.Host, 'recordFailedCall'>
@@ -72,6 +77,13 @@
   readonly retryAfter?: number
 }
 
+/** Answers to requests whose bodies were not read to their end. They have not been passed on. */
+const BODY_REJECTIONS: Readonly<Partial<Record<BodyReaders.BodyFailure['kind'], Rejection>>> = {
+  'too-large': { status: STATUS_TOO_LARGE, reason: 'body-too-large' },
+  stalled: { status: STATUS_REQUEST_TIMEOUT, reason: 'body-stalled' },
+  'no-memory': { status: STATUS_UNAVAILABLE, reason: 'no-memory', retryAfter: STARTING_RETRY_AFTER_MS }
+}
+
 /** Phases of a planned stop. */
 export interface Drain {
   /** From then on requests are refused that may last until the node ends. */
@@ -106,13 +118,13 @@
 
   /** Handles a request whose head has been read. Errors fail this request only. */
   async handle (request: Http.IncomingMessage, response: Http.ServerResponse): Promise<void> {
-    const { dialect, clock, log } = this.dependencies
+    const { dialect, clock, log, memory } = this.dependencies
     const callerMetadata = dialect.readCallerMetadata(request.rawHeaders)
     const id = callerMetadata.request ?? Decisions.Ids.requestId('')
     const recipient = this.recipientOf(request, callerMetadata)
     const connection = this.connections.of(request.socket)
     const inbound = new InboundRequests.InboundRequest({
-      request, response, id, arrivedAt: clock.now(), holdsBack: !('status' in recipient) && !recipient.route.repeatable,
+      request, response, id, arrivedAt: clock.now(), memory, holdsBack: !('status' in recipient) && !recipient.route.repeatable,
       onClosing: reason => { log.info('response closes the connection of its caller', { request: id, reason, answerable: connection.answerable }) }
     })
     if (!connection.add(inbound)) {
@@ -151,9 +163,10 @@
   private async receive (inbound: InboundRequests.InboundRequest, recipient: Recipient, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
     const { route } = recipient
     const limit = this.dependencies.configuration.current?.limits.bodyBytes ?? 0
-    const body = await Bodies.read(inbound.request, limit)
+    const body = await this.dependencies.memory.readRequest(inbound.request, inbound.response, limit)
     if (body.isErr()) {
-      if (body.error.kind === 'too-large') await this.reject(inbound, { status: STATUS_TOO_LARGE, reason: 'body-too-large' })
+      const rejection = BODY_REJECTIONS[body.error.kind]
+      if (rejection !== undefined) await this.reject(inbound, rejection)
       else this.dependencies.log.info('caller left before its request was complete', { request: inbound.id, route: route.name })
       return
     }
@@ -164,7 +177,7 @@
   }
 
   /** Dispatches a request that was read completely. `callerTimeout` is the time for which the caller waits. */
-  private async admit (inbound: InboundRequests.InboundRequest, { route, account, isAnonymous }: Recipient, body: Buffer, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
+  private async admit (inbound: InboundRequests.InboundRequest, { route, account, isAnonymous }: Recipient, body: Contents.Content, callerTimeout: Decisions.Clock.Milliseconds): Promise<void> {
     const { request, arrivedAt, id } = inbound
     const [method, path] = [request.method ?? 'GET', request.url ?? '']
     const deadline = Decisions.Clock.add(arrivedAt, Decisions.Clock.milliseconds(Math.min(callerTimeout, route.timeout)))
--- a/packages/proxy/src/entry/inbound-request.ts
+++ b/packages/proxy/src/entry/inbound-request.ts
@@ -1,6 +1,7 @@
 /** A caller's request as the HTTP library delivers it, with its response. */
 import type * as Http from 'node:http'
 import type * as Decisions from '@jasminedale/decisions'
+import type * as Memories from '../resources/memory.js'
 import * as CallerConnections from './caller-connection.js'
 
 /** Statuses whose responses must not have a body or a length. */
@@ -12,6 +13,7 @@
   readonly id: Decisions.Ids.RequestId
   readonly arrivedAt: Decisions.Clock.Milliseconds
   readonly holdsBack: boolean
+  readonly memory: Pick<Memories.Memory, 'send'>
   /** Called before a response that closes the connection is written. */
   readonly onClosing: (reason: CallerConnections.CloseReason) => void
 }
@@ -47,6 +49,7 @@
     }
     response.sendDate = false
     response.writeHead(reply.status, fields)
-    response.end(request.method === 'HEAD' ? undefined : reply.body)
+    if (request.method === 'HEAD') response.end()
+    else this.options.memory.send(response, reply.body)
   }
 }
--- a/packages/proxy/src/entry/request.ts
+++ b/packages/proxy/src/entry/request.ts
@@ -1,5 +1,6 @@
 /** A caller's request at its entry node, with the route and the service chosen for it. */
 import type * as Decisions from '@jasminedale/decisions'
+import type * as Contents from '../resources/content.js'
 import type * as Routes from '../routes/route.js'
 
 export interface EntryRequest {
@@ -8,7 +9,7 @@
   readonly path: string
   /** Headers to pass on, as alternating names and values. */
   readonly headers: readonly string[]
-  readonly body: Buffer
+  readonly body: Contents.Content
   readonly route: Routes.Route
   readonly service: Decisions.Ids.Service
   /** Client account of the caller, if its key is known. */
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -7,6 +7,7 @@
 import type * as Hosts from '../host/host.js'
 import type * as HostedRequests from '../host/hosted-request.js'
 import type * as Logs from '../observation/log.js'
+import type * as Memories from '../resources/memory.js'
 import type * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
@@ -40,6 +41,7 @@
   readonly dialect: Dialects.Dialect
   readonly log: Logs.Log
   readonly connections: ConnectionPools.ConnectionPool
+  readonly memory: Memories.Memory
   /** Called with the configuration version in force on another node. */
   readonly onVersionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
 }
@@ -117,7 +119,7 @@
   }
 
   private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions): Attempt {
-    const { clock, connections, callerService, views } = this.dependencies
+    const { clock, connections, callerService, views, memory } = this.dependencies
     const { target } = registration
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const fields = Forwarding.formatMetadata({
@@ -135,6 +137,7 @@
       timeout: Decisions.Clock.add(remaining, RESPONSE_MARGIN),
       connectTimeout: Decisions.Clock.milliseconds(Math.min(CONNECT_TIMEOUT, remaining)),
       maximumResponseBytes: RESPONSE_LIMIT_BYTES,
+      memory,
       connections,
       awaitsConfirmation: true,
       mayCommit: confirm,
--- a/packages/proxy/src/host/host-server.ts
+++ b/packages/proxy/src/host/host-server.ts
@@ -3,9 +3,9 @@
 import * as Decisions from '@jasminedale/decisions'
 import type * as Directories from '../directory/directory.js'
 import * as HostViews from '../entry/host-views.js'
+import type * as Memories from '../resources/memory.js'
 import type * as Settings from '../settings.js'
 import type * as Dialects from '../transport/dialect.js'
-import * as Bodies from '../transport/body.js'
 import * as Forwarding from './forwarding.js'
 import type * as Hosts from './host.js'
 import type * as HostedRequests from './hosted-request.js'
@@ -20,6 +20,7 @@
   readonly host: Hosts.Host
   readonly directory: Directories.Directory
   readonly views: HostViews.HostViews
+  readonly memory: Memories.Memory
   readonly settings: Pick<Settings.ProxySettings, 'location' | 'service'>
 }
 
@@ -43,17 +44,18 @@
     }
     this.openRequests += 1
     response.once('close', () => { this.openRequests -= 1 })
-    const { host } = this.dependencies
+    const { host, memory } = this.dependencies
     const outcome = host.run(this.toHostedRequest(request, response, metadata, async () => {
       response.writeContinue()
-      const body = await Bodies.read(request, BODY_LIMIT_BYTES)
+      const body = await memory.readRequest(request, response, BODY_LIMIT_BYTES)
       return body.isOk() ? body.value : undefined
     }))
     const { status, headers, body } = Forwarding.formatOutcome(await outcome, { ...host.report(), trippedNearby: this.trippedNearby() })
     if (response.destroyed) return
     request.resume()
     response.writeHead(status, [...headers, 'Content-Length', String(body.length)])
-    response.end(request.method === 'HEAD' ? undefined : body)
+    if (request.method === 'HEAD') response.end()
+    else memory.send(response, body)
   }
 
   /** Targets of this service in this data center whose circuit breakers are tripped, as far as this node knows. */
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -3,7 +3,8 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
-import * as BufferBudgets from '../transport/buffer-budget.js'
+import type * as Contents from '../resources/content.js'
+import type * as Memories from '../resources/memory.js'
 import * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
@@ -24,8 +25,6 @@
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Bounds the memory that one response takes. */
 const RESPONSE_LIMIT_BYTES = 67_108_864
-/** Bounds the memory that all unfinished responses take; the smallest VMs have 250 MB for the process. */
-const RESPONSE_BUDGET_BYTES = 67_108_864
 /**
  * An error response within this time after a failed call to another service is attributed to that call. Short, since
  * the failed call may come from another caller on this VM and not from the target.
@@ -42,6 +41,8 @@
   readonly log: Logs.Log
   readonly metrics: Metrics.Metrics
   readonly localTarget: LocalTargets.LocalTarget
+  /** Undefined in tests that do without a bound. */
+  readonly memory?: Memories.Memory
   readonly quarantine: Pick<Quarantines.Quarantine, 'blockedFor' | 'recordCrash' | 'recordCompletion'>
   /** Address of the local target. */
   readonly targetAddress: Decisions.Ids.Endpoint
@@ -60,7 +61,6 @@
   private readonly circuitBreaker = new CircuitBreakers.CircuitBreaker()
   private readonly capacity: TargetCapacities.TargetCapacity
   private readonly connections = new ConnectionPools.ConnectionPool()
-  private readonly responseBudget = new BufferBudgets.BufferBudget(RESPONSE_BUDGET_BYTES)
   private isDraining = false
   /** When a request from this VM to another service last failed. */
   private lastFailedCallAt: Decisions.Clock.Milliseconds | undefined
@@ -147,7 +147,7 @@
   }
 
   /** The refusal if the target has left or failed while the request was in the queue or waited for the confirmation. */
-  private checkCommitted (request: HostedRequests.HostedRequest, body: Buffer | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome | undefined {
+  private checkCommitted (request: HostedRequests.HostedRequest, body: Contents.Content | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome | undefined {
     return this.checkAvailability(request) ?? (admission === 'pass' ? this.checkBreaker(request) : undefined) ?? this.checkQuarantine(request, body)
   }
 
@@ -156,7 +156,7 @@
     return this.reportRefusal(request, refusal ?? HostedRequests.refusal('too-late', BUSY_RETRY_AFTER_MS))
   }
 
-  private async runInSlot (request: HostedRequests.HostedRequest, body: Buffer, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
+  private async runInSlot (request: HostedRequests.HostedRequest, body: Contents.Content, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
     const startedAt = this.dependencies.clock.now()
     const exchange = this.send(request, body, startedAt)
     const state = { isWithdrawn: false }
@@ -181,7 +181,7 @@
   }
 
   /** The refusal if the request is known to crash the targets that run it. */
-  private checkQuarantine ({ method, path }: HostedRequests.HostedRequest, body: Buffer | undefined): HostedRequests.Outcome | undefined {
+  private checkQuarantine ({ method, path }: HostedRequests.HostedRequest, body: Contents.Content | undefined): HostedRequests.Outcome | undefined {
     const blockedFor = body === undefined ? undefined : this.dependencies.quarantine.blockedFor({ method, path, body })
     return blockedFor === undefined ? undefined : HostedRequests.refusal('request-blocked', blockedFor)
   }
@@ -198,7 +198,7 @@
     if (!await Reachability.accepts(targetAddress)) quarantine.recordCrash(content, startedAt)
   }
 
-  private send (request: HostedRequests.HostedRequest, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
+  private send (request: HostedRequests.HostedRequest, body: Contents.Content, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
     const remaining = Decisions.Clock.between(now, request.deadline)
     const { dialect, targetAddress } = this.dependencies
     const fields = dialect.targetRequestFields({ target: request.target, callerService: request.callerService, remaining, account: request.account })
@@ -212,7 +212,7 @@
       timeout: remaining,
       connectTimeout: CONNECT_TIMEOUT,
       maximumResponseBytes: RESPONSE_LIMIT_BYTES,
-      responseBudget: this.responseBudget,
+      memory: this.dependencies.memory,
       connections: this.connections,
       awaitsConfirmation: false,
       confirmationTimeout: CONNECT_TIMEOUT
--- a/packages/proxy/src/host/hosted-request.ts
+++ b/packages/proxy/src/host/hosted-request.ts
@@ -1,5 +1,6 @@
 /** A request that an entry node offers to the host of its target, and the possible outcomes. */
 import type * as Decisions from '@jasminedale/decisions'
+import type * as Contents from '../resources/content.js'
 import type * as Exchanges from '../transport/exchange.js'
 
 export interface HostedRequest {
@@ -33,7 +34,7 @@
   /** Called when the request enters the queue; notifies the entry node. */
   onQueued (): void
   /** Notifies the entry node that a slot is held and returns the body; undefined if the request was withdrawn. */
-  commit (): Promise<Buffer | undefined>
+  commit (): Promise<Contents.Content | undefined>
   /** Calls `listener` when the entry node withdraws the request. */
   onWithdrawn (listener: () => void): void
 }
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,5 +1,6 @@
 /** Public interface of the proxy package. */
 export * as Accounts from './accounts/account.js'
+export * as Contents from './resources/content.js'
 export * as ConfigurationStates from './state/configuration-state.js'
 export * as ConnectionPools from './transport/connection-pool.js'
 export * as DestinationChoosers from './routes/destination-chooser.js'
--- a/packages/proxy/src/observation/metrics.ts
+++ b/packages/proxy/src/observation/metrics.ts
@@ -57,6 +57,14 @@
     name: 'jasminedale_in_force_seconds', help: 'Time since the configuration or the settings came into force on this node.', labelNames: ['part'], registers: [this.registry]
   })
 
+  private readonly drops = new Prometheus.Counter({
+    name: 'jasminedale_drops_total', help: 'Bodies and connections that this node gave up for its memory or its descriptors, or because they stalled.', labelNames: ['kind', 'reason'], registers: [this.registry]
+  })
+
+  private readonly heldBytes = new Prometheus.Gauge({
+    name: 'jasminedale_held_bytes', help: 'Memory of bodies, heads and connections.', registers: [this.registry]
+  })
+
   recordRequest (service: string, outcome: string, elapsed: number): void {
     this.requests.observe({ service, outcome }, elapsed / MILLISECONDS_PER_SECOND)
   }
@@ -86,6 +94,15 @@
     this.storeCalls.inc({ call, result })
   }
 
+  /** Counts a body or connection that was given up. */
+  recordDrop (kind: string, reason: string): void {
+    this.drops.inc({ kind, reason })
+  }
+
+  setHeldBytes (bytes: number): void {
+    this.heldBytes.set(bytes)
+  }
+
   /** Sets what is in force. The times since then are in ms. */
   setInForce (configuration: InForce | undefined, settings: InForce): void {
     this.configurationVersion.set(configuration?.version ?? 0)
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -18,6 +18,8 @@
 import * as Quarantines from './quarantine/quarantine.js'
 import * as DestinationChoosers from './routes/destination-chooser.js'
 import * as Servers from './servers.js'
+import * as ConnectionOwners from './resources/connections.js'
+import * as Memories from './resources/memory.js'
 import type * as Settings from './settings.js'
 import * as ConfigurationStates from './state/configuration-state.js'
 import * as Registrars from './state/registrar.js'
@@ -51,6 +53,8 @@
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly settingsState: SettingsStates.SettingsState
   readonly localTarget: LocalTargets.LocalTarget
+  readonly memory: Memories.Memory
+  readonly inboundConnections: ConnectionOwners.Connections
   readonly views: HostViews.HostViews
   readonly connections: ConnectionPools.ConnectionPool
   readonly nodeChannel: NodeChannels.NodeChannel
@@ -109,7 +113,8 @@
   }
 
   async start (): Promise<void> {
-    const { servers, nodeChannel, sharedLog, synchronizer, log, settings } = this.components
+    const { servers, nodeChannel, sharedLog, synchronizer, log, settings, memory } = this.components
+    memory.start()
     await Promise.all([servers.open(), nodeChannel.open()])
     sharedLog.start()
     synchronizer.start()
@@ -180,7 +185,8 @@
 
   /** Closes the node at once and aborts all requests in flight. */
   close (): void {
-    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections } = this.components
+    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections, memory } = this.components
+    memory.stop()
     synchronizer.stop()
     registrar.stop()
     sharedLog.close()
@@ -197,13 +203,15 @@
     ...stateComponents(),
     random: Awilix.asFunction(createRandom).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
+    memory: Awilix.asClass(Memories.Memory).singleton(),
+    inboundConnections: Awilix.asClass(ConnectionOwners.Connections).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
-    connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
+    connections: Awilix.asFunction(({ inboundConnections }: Cradle) => new ConnectionPools.ConnectionPool(inboundConnections.outboundLimit)).singleton(),
     nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
     nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
     quarantine: Awilix.asClass(Quarantines.Quarantine).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
-      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine,
+      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, memory: cradle.memory, quarantine: cradle.quarantine,
       targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version,
       onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) },
       onTargetLeaving: target => { void cradle.membership.recordLeaving(target) }
@@ -214,7 +222,7 @@
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
       clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, directory: cradle.directory, dialect: cradle.dialect,
-      connections: cradle.connections, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
+      connections: cradle.connections, memory: cradle.memory, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
     gateway: Awilix.asClass(Gateways.Gateway).singleton(),
--- a/packages/proxy/src/quarantine/quarantine.ts
+++ b/packages/proxy/src/quarantine/quarantine.ts
@@ -8,6 +8,7 @@
 import * as zod from 'zod'
 import type * as Directories from '../directory/directory.js'
 import type * as Logs from '../observation/log.js'
+import * as Contents from '../resources/content.js'
 import type * as Settings from '../settings.js'
 import type * as NodeChannels from '../transport/node-channel.js'
 import * as CrashTables from './crash-table.js'
@@ -34,7 +35,7 @@
 export interface RequestContent {
   readonly method: string
   readonly path: string
-  readonly body: Buffer
+  readonly body: Contents.Content
 }
 
 export interface QuarantineDependencies {
@@ -153,5 +154,6 @@
 }
 
 function signatureOf ({ method, path, body }: RequestContent): Decisions.Ids.Signature {
-  return Decisions.Ids.signature(Decisions.Rendezvous.digest(Buffer.concat([Buffer.from(`${method} ${path}\n`), body])))
+  // Of a body in blocks only the first one is taken: to join them would double its memory.
+  return Decisions.Ids.signature(Decisions.Rendezvous.digest(Buffer.concat([Buffer.from(`${method} ${path}\n`), Contents.prefix(body)])))
 }
--- a/packages/proxy/src/servers.ts
+++ b/packages/proxy/src/servers.ts
@@ -5,6 +5,7 @@
 import * as Gateways from './entry/gateway.js'
 import type * as HostServers from './host/host-server.js'
 import type * as Logs from './observation/log.js'
+import type * as ConnectionOwners from './resources/connections.js'
 import type * as Settings from './settings.js'
 import type * as ConfigurationStates from './state/configuration-state.js'
 import * as NodeRpcs from './transport/node-rpc.js'
@@ -27,6 +28,7 @@
   readonly hostServer: HostServers.HostServer
   readonly nodeRpc: NodeRpcs.NodeRpc
   readonly configuration: ConfigurationStates.ConfigurationState
+  readonly inboundConnections: ConnectionOwners.Connections
 }
 
 export class Servers {
@@ -39,12 +41,15 @@
     this.dependencies = dependencies
     this.callerServer = this.createCallerServer()
     this.nodeServer = this.createNodeServer()
+    dependencies.inboundConnections.follow(this.callerServer, 'caller')
+    dependencies.inboundConnections.follow(this.nodeServer, 'node')
   }
 
   /** Listens on both addresses. Rejects with the system's error when one is not available. */
   async open (): Promise<void> {
     const { settings } = this.dependencies
     await Promise.all([listen(this.callerServer, settings.callerAddress), listen(this.nodeServer, settings.location.host)])
+    this.dependencies.inboundConnections.start()
     this.limitsTimer = setInterval(() => { this.applyLimits() }, LIMITS_UPDATE_INTERVAL_MS)
   }
 
@@ -56,6 +61,7 @@
 
   close (): void {
     clearInterval(this.limitsTimer)
+    this.dependencies.inboundConnections.stop()
     this.callerServer.close()
     this.nodeServer.close()
     this.callerServer.closeIdleConnections()
--- a/packages/proxy/src/transport/body.ts
+++ b/packages/proxy/src/transport/body.ts
@@ -2,31 +2,25 @@
 import type * as Http from 'node:http'
 import type * as Decisions from '@jasminedale/decisions'
 import * as neverthrow from 'neverthrow'
-import * as BufferBudgets from './buffer-budget.js'
 
 export type BodyFailure =
   | { readonly kind: 'too-large', readonly limit: number }
   /** The sender closed the connection before the end of the body. */
   | { readonly kind: 'incomplete' }
 
-/**
- * Reads a body of up to `limit` bytes. The rest of a larger body is not read, and the connection stays open.
- * @param budget Bounds the unfinished bodies of several messages together.
- */
-export async function read (message: Http.IncomingMessage, limit: number, budget = new BufferBudgets.BufferBudget(limit)): Promise<neverthrow.Result<Buffer, BodyFailure>> {
+/** Reads a body of up to `limit` bytes. The rest of a larger body is not read, and the connection stays open. */
+export async function read (message: Http.IncomingMessage, limit: number): Promise<neverthrow.Result<Buffer, BodyFailure>> {
   const chunks: Buffer[] = []
   let length = 0
   try {
     for await (const chunk of message.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
-      if (length + chunk.length > limit || !budget.tryAcquire(chunk.length, length)) return neverthrow.err({ kind: 'too-large', limit })
+      if (length + chunk.length > limit) return neverthrow.err({ kind: 'too-large', limit })
       length += chunk.length
       chunks.push(chunk)
     }
   } catch {
     // The stream reports a connection that closed early as an error.
     return neverthrow.err({ kind: 'incomplete' })
-  } finally {
-    budget.release(length)
   }
   if (!message.complete) return neverthrow.err({ kind: 'incomplete' })
   return neverthrow.ok(chunks.length === 1 ? chunks[0] ?? EMPTY : Buffer.concat(chunks))
--- a/packages/proxy/src/transport/connection-pool.ts
+++ b/packages/proxy/src/transport/connection-pool.ts
@@ -18,10 +18,24 @@
   readonly history = new ConnectionHistories.ConnectionHistory()
   private readonly idleLimits = new WeakMap<Stream.Duplex, number>()
 
-  constructor () {
+  private openConnections = 0
+
+  /** @param limit Most connections at a time. */
+  constructor (private readonly limit = Infinity) {
     super({ keepAlive: true, keepAliveMsecs: KEEP_ALIVE_PROBE_DELAY_MS, maxFreeSockets: MAXIMUM_IDLE_CONNECTIONS, scheduling: 'lifo', noDelay: true })
   }
 
+  /** Opens a connection, unless as many are open as may be. An idle one is closed for it, since it may lead to another address. */
+  override createConnection (options: Http.ClientRequestArgs, callback?: (error: Error | null, stream: Stream.Duplex) => void): Stream.Duplex | null | undefined {
+    if (this.openConnections >= this.limit) Object.values(this.freeSockets).flat()[0]?.destroy()
+    const socket = super.createConnection(options, callback)
+    if (socket === null || socket === undefined) return socket
+    if (this.openConnections >= this.limit) socket.destroy(new Error('as many connections are open as the descriptors allow'))
+    this.openConnections += 1
+    socket.once('close', () => { this.openConnections -= 1 })
+    return socket
+  }
+
   /** Sets the idle timeout from the peer's Keep-Alive field, if the field states one. */
   setIdleLimit (socket: Net.Socket, keepAlive: string | readonly string[] | undefined): void {
     const seconds = /(?:^|[,\s])timeout=(?<seconds>\d+)/i.exec(String(keepAlive ?? ''))?.groups?.seconds
--- a/packages/proxy/src/transport/exchange.ts
+++ b/packages/proxy/src/transport/exchange.ts
@@ -1,14 +1,15 @@
 /** One HTTP request to a backend server or another node, and its response. */
 import * as Http from 'node:http'
 import * as Decisions from '@jasminedale/decisions'
+import * as Contents from '../resources/content.js'
+import type * as Memories from '../resources/memory.js'
 import * as Bodies from './body.js'
-import type * as BufferBudgets from './buffer-budget.js'
 import type * as ConnectionPools from './connection-pool.js'
 
 export interface Response {
   readonly status: number
   readonly headers: string[]
-  readonly body: Buffer
+  readonly body: Contents.Content
   /** Whether Content-Length or chunked coding marked the end of the body, so that it is known to be complete. */
   readonly isFramed: boolean
 }
@@ -39,14 +40,14 @@
   readonly method: string
   readonly path: string
   readonly headers: string[]
-  readonly body: Buffer
+  readonly body: Contents.Content
   /** Time from the construction until the exchange fails. */
   readonly timeout: Decisions.Clock.Milliseconds
   /** Time within which a connection must be open. */
   readonly connectTimeout: Decisions.Clock.Milliseconds
   readonly maximumResponseBytes: number
   /** Bounds the responses of several exchanges together. */
-  readonly responseBudget?: BufferBudgets.BufferBudget
+  readonly memory?: Pick<Memories.Memory, 'readResponse'> | undefined
   readonly connections: ConnectionPools.ConnectionPool
   /**
    * Whether the body, and the end of the request, are sent only after the peer has confirmed with 100 Continue. The peer
@@ -165,7 +166,7 @@
 
   private send (): void {
     if (this.options.awaitsConfirmation) this.request.flushHeaders()
-    else this.request.end(this.options.body)
+    else Contents.end(this.request, this.options.body)
   }
 
   private handleConnected (): void {
@@ -189,7 +190,7 @@
     }
     this.isCommitted = true
     this.queued = false
-    this.request.end(this.options.body)
+    Contents.end(this.request, this.options.body)
   }
 
   private async receive (message: Http.IncomingMessage): Promise<void> {
@@ -204,7 +205,8 @@
     // A response without confirmation is a refusal. Ending the request with an empty body keeps the connection usable.
     if (this.options.awaitsConfirmation && !this.isCommitted) this.request.end()
     this.options.connections.setIdleLimit(message.socket, message.headers['keep-alive'])
-    const body = await Bodies.read(message, this.options.maximumResponseBytes, this.options.responseBudget)
+    const { memory, maximumResponseBytes } = this.options
+    const body = await (memory?.readResponse(message, maximumResponseBytes) ?? Bodies.read(message, maximumResponseBytes))
     if (body.isErr() || (this.hasConnectionError && isUnframed(message, this.options.method))) {
       this.fail(body.isErr() ? `response body is ${body.error.kind}` : 'connection failed during a response without a length')
       return
