--- a/packages/proxy/src/resources/body-reader.ts
+++ b/packages/proxy/src/resources/body-reader.ts
@@ -80,6 +80,7 @@
 
   private copy (chunk: Buffer): boolean {
     this.memory.recordProgress(this.holding)
+    this.memory.recordCopied(chunk.length)
     for (let start = 0; start < chunk.length;) {
       if (this.filled === BlockPools.BLOCK_BYTES && !this.addBlock()) return false
       const copied = chunk.copy(this.blocks.at(-1) ?? Contents.EMPTY, this.filled, start)
--- a/packages/proxy/src/resources/memory.ts
+++ b/packages/proxy/src/resources/memory.ts
@@ -27,6 +27,9 @@
 const FIELD_RATIO = 2
 /** A collection takes 20 to 60 ms on a full core, more on the smallest VMs; they take no more than this part of the time. */
 const COLLECTION_RATIO = 0.05
+/** Copied chunks after which the young generation is collected when memory is scarce; that takes a few ms. */
+const COPIED_LIMIT_BYTES = 8 * BYTES_PER_MB
+const SCARCE_RATIO = 0.5
 const SWEEP_INTERVAL_MS = 500
 /** Blocks that were free for so long are given back; a crowd may come again before. */
 const TRIM_INTERVAL = Decisions.Clock.seconds(10)
@@ -47,7 +50,8 @@
   private totalBytes = MINIMUM_BYTES
   private readonly finished = new Map<MemoryBudgets.Holding, WeakRef<Contents.BlockList>>()
   private readonly registry = new FinalizationRegistry<MemoryBudgets.Holding>(holding => { this.release(holding) })
-  private collectGarbage: (() => void) | undefined
+  private collectGarbage: Collector | undefined
+  private copiedBytes = 0
   private nextCollectionAt = Decisions.Clock.milliseconds(0)
   private nextTrimAt = Decisions.Clock.milliseconds(0)
   private timer: NodeJS.Timeout | undefined
@@ -66,6 +70,11 @@
     clearInterval(this.timer)
   }
 
+  /** Bytes that bodies, heads and connections take. */
+  get used (): number {
+    return this.budget.used
+  }
+
   /** Sets what connections take. */
   setOverhead (bytes: number): void {
     this.budget.setOverhead(bytes)
@@ -97,7 +106,8 @@
     }
     const { holding } = content
     this.recordProgress(holding)
-    holding.drop = () => { response.socket?.destroy() }
+    // A response that waits for those in front of it has no socket of its own yet.
+    holding.drop = () => { response.req.socket.destroy() }
     response.once('close', () => { holding.drop = undefined })
     Contents.end(response, content, () => { this.recordProgress(holding) })
   }
@@ -117,6 +127,14 @@
     return second.victims.length > 0 && this.budget.grow(holding, bytes, now).isGranted
   }
 
+  /** Counts chunks that were copied and are garbage now. When memory is scarce, they are collected before the runtime would. */
+  recordCopied (bytes: number): void {
+    this.copiedBytes += bytes
+    if (this.copiedBytes < COPIED_LIMIT_BYTES || this.budget.used < this.totalBytes * SCARCE_RATIO) return
+    this.copiedBytes = 0
+    this.collector()({ type: 'minor' })
+  }
+
   recordProgress (holding: MemoryBudgets.Holding): void {
     holding.lastProgressAt = this.dependencies.clock.now()
   }
@@ -161,23 +179,29 @@
     this.dependencies.metrics.setHeldBytes(this.budget.used)
   }
 
+  private collector (): Collector {
+    return this.collectGarbage ??= exposeCollector()
+  }
+
   /** Collects garbage if finished bodies may be part of it, and counts what they give back. */
   private collect (now: Decisions.Clock.Milliseconds): void {
     if (this.finished.size === 0 || now < this.nextCollectionAt) return
-    this.collectGarbage ??= exposeCollector()
-    this.collectGarbage()
+    this.collector()()
+    this.copiedBytes = 0
     const elapsed = Decisions.Clock.between(now, this.dependencies.clock.now())
     this.nextCollectionAt = Decisions.Clock.add(now, Decisions.Clock.milliseconds(elapsed / COLLECTION_RATIO))
     for (const [holding, content] of [...this.finished]) if (content.deref() === undefined) this.release(holding)
   }
 }
 
+type Collector = (options?: { readonly type: 'minor' }) => void
+
 function headBytes ({ rawHeaders }: Http.IncomingMessage): number {
   return REQUEST_OVERHEAD_BYTES + FIELD_RATIO * rawHeaders.reduce((sum, text) => sum + text.length, 0)
 }
 
 /** The runtime's function that collects garbage. It is reachable only with a runtime option, which can be set later. */
-function exposeCollector (): () => void {
+function exposeCollector (): Collector {
   V8.setFlagsFromString('--expose-gc')
-  return Vm.runInNewContext('gc') as () => void
+  return Vm.runInNewContext('gc') as Collector
 }
