--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -10,6 +10,7 @@
 import type * as Hosts from '../host/host.js'
 import type * as HostedRequests from '../host/hosted-request.js'
 import type * as Logs from '../observation/log.js'
+import type * as Memories from '../resources/memory.js'
 import type * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
@@ -46,6 +47,7 @@
   readonly log: Logs.Log
   readonly connections: ConnectionPools.ConnectionPool
   readonly dependencyControl: Pick<DependencyControls.DependencyControl, 'senderFraction' | 'consistsOfCalls' | 'recordCallRoute'>
+  readonly memory: Memories.Memory
   /** Called with the configuration version in force on another node. */
   readonly onVersionSeen: (version: Decisions.Ids.Version, address: Decisions.Ids.Endpoint) => void
 }
@@ -154,7 +156,7 @@
   }
 
   private forward (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions, expectation: HostedRequests.Expectation | undefined): Attempt {
-    const { clock, connections, callerService, views } = this.dependencies
+    const { clock, connections, callerService, views, memory } = this.dependencies
     const { target } = registration
     const remaining = Decisions.Clock.between(clock.now(), request.deadline)
     const fields = Forwarding.formatMetadata({
@@ -172,6 +174,7 @@
       timeout: Decisions.Clock.add(remaining, RESPONSE_MARGIN),
       connectTimeout: Decisions.Clock.milliseconds(Math.min(CONNECT_TIMEOUT, remaining)),
       maximumResponseBytes: RESPONSE_LIMIT_BYTES,
+      memory,
       connections,
       awaitsConfirmation: true,
       mayCommit: confirm,
--- a/packages/proxy/src/host/host.ts
+++ b/packages/proxy/src/host/host.ts
@@ -4,8 +4,9 @@
 import type * as Logs from '../observation/log.js'
 import type * as Metrics from '../observation/metrics.js'
 import type * as Quarantines from '../quarantine/quarantine.js'
+import type * as Contents from '../resources/content.js'
+import type * as Memories from '../resources/memory.js'
 import type * as Routes from '../routes/route.js'
-import * as BufferBudgets from '../transport/buffer-budget.js'
 import * as ConnectionPools from '../transport/connection-pool.js'
 import type * as Dialects from '../transport/dialect.js'
 import * as Exchanges from '../transport/exchange.js'
@@ -18,27 +19,19 @@
 import * as SlotAcquisitions from './slot-acquisition.js'
 import * as SlownessLogs from './slowness-log.js'
 import * as TargetCapacities from './target-capacity.js'
+import * as TargetResponses from './target-response.js'
 import * as HostedRequests from './hosted-request.js'
 
-const SERVER_ERROR = 500
 const STATUS_TIMEOUT = 504
-/** To the caller of a non-idempotent request these statuses promise that it has not run. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
 /** The local target is on the same VM, so that a connection normally opens at once. */
 const CONNECT_TIMEOUT = Decisions.Clock.milliseconds(500)
 /** Bounds the memory that one response takes. */
 const RESPONSE_LIMIT_BYTES = 67_108_864
-/** Bounds the memory that all unfinished responses take; the smallest VMs have 250 MB for the process. */
-const RESPONSE_BUDGET_BYTES = 67_108_864
 /**
  * An error response within this time after a failed call to another service is attributed to that call. Short, since
  * the failed call may come from another caller on this VM and not from the target.
  */
 const FAILED_CALL_WINDOW = Decisions.Clock.milliseconds(50)
-/** Time after which an entry node may retry on a target without a free slot. */
-const BUSY_RETRY_AFTER_MS = 50
-/** Time after which an entry node may retry when the target is unavailable; its directory is up to date by then. */
-const ABSENT_RETRY_AFTER_MS = 1_000
 
 export interface HostDependencies {
   readonly clock: Decisions.Clock.Clock
@@ -46,6 +39,8 @@
   readonly log: Logs.Log
   readonly metrics: Metrics.Metrics
   readonly localTarget: LocalTargets.LocalTarget
+  /** Undefined in tests that do without a bound. */
+  readonly memory?: Memories.Memory
   readonly quarantine: Pick<Quarantines.Quarantine, 'blockedFor' | 'recordCrash' | 'recordCompletion'>
   /** Address of the local target. */
   readonly targetAddress: Decisions.Ids.Endpoint
@@ -68,7 +63,6 @@
   private readonly circuitBreaker = new CircuitBreakers.CircuitBreaker()
   private readonly capacity: TargetCapacities.TargetCapacity
   private readonly connections = new ConnectionPools.ConnectionPool()
-  private readonly responseBudget = new BufferBudgets.BufferBudget(RESPONSE_BUDGET_BYTES)
   private readonly slownessLog: SlownessLogs.SlownessLog
   private isDraining = false
   /** When a request from this VM to another service last failed. */
@@ -135,7 +129,7 @@
     const slotResult = await SlotAcquisitions.acquire(this.capacity, request, this.dependencies.dependencyControl)
     if (slotResult !== 'started') {
       this.circuitBreaker.recordInconclusive(admission)
-      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed, slotResult === 'too-late' ? this.capacity.retryAfter(request) : 0)))
+      return this.reportRefusal(request, HostedRequests.refusal(slotResult, Math.max(TargetResponses.BUSY_RETRY_AFTER_MS, this.capacity.timeUntilAllowed, slotResult === 'too-late' ? this.capacity.retryAfter(request) : 0)))
     }
     let wasSent = true
     try {
@@ -162,30 +156,30 @@
     if (refusal !== undefined) return refusal
     const now = this.dependencies.clock.now()
     const admission = this.circuitBreaker.admit(request.mayBeProbe, request.mayBypassBreaker, now)
-    if (admission === 'closed') return HostedRequests.refusal('target-closed', this.circuitBreaker.timeUntilProbe(now) ?? BUSY_RETRY_AFTER_MS)
+    if (admission === 'closed') return HostedRequests.refusal('target-closed', this.circuitBreaker.timeUntilProbe(now) ?? TargetResponses.BUSY_RETRY_AFTER_MS)
     return admission
   }
 
   /** The refusal, or undefined if the target of the request is here and takes requests. */
   private checkAvailability (request: HostedRequests.HostedRequest): HostedRequests.Outcome | undefined {
     const announcement = this.dependencies.localTarget.announcement
-    if (this.isDraining) return HostedRequests.refusal('node-leaving', ABSENT_RETRY_AFTER_MS)
-    if (announcement?.target !== request.target) return HostedRequests.refusal('target-unknown', ABSENT_RETRY_AFTER_MS)
-    if (announcement.state !== 'ready') return HostedRequests.refusal('target-leaving', ABSENT_RETRY_AFTER_MS)
+    if (this.isDraining) return HostedRequests.refusal('node-leaving', TargetResponses.ABSENT_RETRY_AFTER_MS)
+    if (announcement?.target !== request.target) return HostedRequests.refusal('target-unknown', TargetResponses.ABSENT_RETRY_AFTER_MS)
+    if (announcement.state !== 'ready') return HostedRequests.refusal('target-leaving', TargetResponses.ABSENT_RETRY_AFTER_MS)
     return undefined
   }
 
   /** The refusal if the target has left or failed while the request was in the queue or waited for the confirmation. */
-  private checkCommitted (request: HostedRequests.HostedRequest, body: Buffer | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome | undefined {
+  private checkCommitted (request: HostedRequests.HostedRequest, body: Contents.Content | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome | undefined {
     return this.checkAvailability(request) ?? (admission === 'pass' ? this.checkBreaker(request) : undefined) ?? this.checkQuarantine(request, body)
   }
 
   private refuseCommitted (request: HostedRequests.HostedRequest, refusal: HostedRequests.Outcome | undefined, admission: CircuitBreakers.Admission): HostedRequests.Outcome {
     this.circuitBreaker.recordInconclusive(admission)
-    return this.reportRefusal(request, refusal ?? HostedRequests.refusal('too-late', BUSY_RETRY_AFTER_MS))
+    return this.reportRefusal(request, refusal ?? HostedRequests.refusal('too-late', TargetResponses.BUSY_RETRY_AFTER_MS))
   }
 
-  private async runInSlot (request: HostedRequests.HostedRequest, body: Buffer, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
+  private async runInSlot (request: HostedRequests.HostedRequest, body: Contents.Content, admission: CircuitBreakers.Admission): Promise<HostedRequests.Outcome> {
     const startedAt = this.dependencies.clock.now()
     const exchange = this.send(request, body, startedAt)
     const recordEnd = this.dependencies.dependencyControl?.recordStart(request)
@@ -204,8 +198,8 @@
     const outcome = state.isWithdrawn ? { kind: 'withdrawn' as const } : this.outcomeOf(request, result)
     recordEnd?.(outcome.kind !== 'refused')
     this.updateQuarantine({ method: request.method, path: request.path, body }, outcome, startedAt)
-    this.recordOutcome(request, outcome, admission, elapsed, this.evidenceOf(result))
-    return outcome.kind === 'answered' && outcome.response.status < SERVER_ERROR && costs !== undefined ? { ...outcome, served: elapsed } : outcome
+    this.recordOutcome(request, outcome, admission, elapsed, TargetResponses.evidenceOf(result, this.dependencies.dialect))
+    return outcome.kind === 'answered' && outcome.response.status < TargetResponses.SERVER_ERROR && costs !== undefined ? { ...outcome, served: elapsed } : outcome
   }
 
   /** The refusal if the circuit breaker has tripped since the request was admitted. */
@@ -215,7 +209,7 @@
   }
 
   /** The refusal if the request is known to crash the targets that run it. */
-  private checkQuarantine ({ method, path }: HostedRequests.HostedRequest, body: Buffer | undefined): HostedRequests.Outcome | undefined {
+  private checkQuarantine ({ method, path }: HostedRequests.HostedRequest, body: Contents.Content | undefined): HostedRequests.Outcome | undefined {
     const blockedFor = body === undefined ? undefined : this.dependencies.quarantine.blockedFor({ method, path, body })
     return blockedFor === undefined ? undefined : HostedRequests.refusal('request-blocked', blockedFor)
   }
@@ -232,7 +226,7 @@
     if (!await Reachability.accepts(targetAddress)) quarantine.recordCrash(content, startedAt)
   }
 
-  private send (request: HostedRequests.HostedRequest, body: Buffer, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
+  private send (request: HostedRequests.HostedRequest, body: Contents.Content, now: Decisions.Clock.Milliseconds): Exchanges.Exchange {
     const remaining = Decisions.Clock.between(now, request.deadline)
     const { dialect, targetAddress } = this.dependencies
     const fields = dialect.targetRequestFields({ target: request.target, callerService: request.callerService, remaining, account: request.account })
@@ -246,7 +240,7 @@
       timeout: remaining,
       connectTimeout: CONNECT_TIMEOUT,
       maximumResponseBytes: RESPONSE_LIMIT_BYTES,
-      responseBudget: this.responseBudget,
+      memory: this.dependencies.memory,
       connections: this.connections,
       awaitsConfirmation: false,
       confirmationTimeout: CONNECT_TIMEOUT
@@ -254,29 +248,12 @@
   }
 
   private outcomeOf (request: HostedRequests.HostedRequest, result: Exchanges.ExchangeResult): HostedRequests.Outcome {
-    if (result.kind === 'not-sent') return HostedRequests.refusal('target-unreachable', ABSENT_RETRY_AFTER_MS)
+    if (result.kind === 'not-sent') return HostedRequests.refusal('target-unreachable', TargetResponses.ABSENT_RETRY_AFTER_MS)
     if (result.kind === 'lost') return { kind: 'failed', reason: result.cause === 'mismatched' ? 'response-invalid' : result.cause, detail: result.reason }
-    const { response } = result
-    const metadata = this.dependencies.dialect.readTargetMetadata(response)
+    const metadata = this.dependencies.dialect.readTargetMetadata(result.response)
     // A response without the id may be a late copy, or not from the target.
     if (metadata.request === request.id) this.applyStatements(request, metadata)
-    if (metadata.isMisdirected) return HostedRequests.refusal('target-changed', ABSENT_RETRY_AFTER_MS)
-    if (metadata.isNotExecuted) return HostedRequests.refusal('target-shed', BUSY_RETRY_AFTER_MS)
-    if (response.status < SERVER_ERROR && (!metadata.isSigned || metadata.isAltered)) {
-      return { kind: 'failed', reason: 'response-invalid', detail: metadata.isAltered ? 'content encoding was added' : 'response is not signed' }
-    }
-    if (!request.repeatable && NOT_RUN_STATUSES.has(response.status)) {
-      return { kind: 'failed', reason: 'response-invalid', detail: `status ${response.status} without the statement that the request did not run` }
-    }
-    return { kind: 'answered', response }
-  }
-
-  /** What the log states about a response, so that a late copy can be told from the response to the request itself. */
-  private evidenceOf (result: Exchanges.ExchangeResult): Logs.Fields {
-    if (result.kind === 'lost') return { position: result.position }
-    if (result.kind === 'not-sent') return {}
-    const { status, headers } = result.response
-    return { status, names: this.dependencies.dialect.readResponseRequest(headers) === undefined ? 'none' : 'own', position: result.position }
+    return TargetResponses.outcomeOf(request, result.response, metadata)
   }
 
   /** Applies what the target states about itself in a response. */
@@ -312,7 +289,7 @@
     switch (outcome.kind) {
       case 'answered': {
         this.lastResponseAt = now
-        const isError = outcome.response.status >= SERVER_ERROR
+        const isError = outcome.response.status >= TargetResponses.SERVER_ERROR
         if (isError && this.isInconclusiveError(outcome.response.status, request, elapsed, now)) {
           this.circuitBreaker.recordInconclusive(admission)
           break
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -21,6 +21,8 @@
 import * as Quotas from './quotas/quotas.js'
 import * as DestinationChoosers from './routes/destination-chooser.js'
 import * as Servers from './servers.js'
+import * as ConnectionOwners from './resources/connections.js'
+import * as Memories from './resources/memory.js'
 import type * as Settings from './settings.js'
 import * as ConfigurationStates from './state/configuration-state.js'
 import * as Registrars from './state/registrar.js'
@@ -54,6 +56,8 @@
   readonly configuration: ConfigurationStates.ConfigurationState
   readonly settingsState: SettingsStates.SettingsState
   readonly localTarget: LocalTargets.LocalTarget
+  readonly memory: Memories.Memory
+  readonly inboundConnections: ConnectionOwners.Connections
   readonly views: HostViews.HostViews
   /** Undefined while the configuration does not place requests by cost. */
   readonly costs: () => ServiceCosts.ServiceCosts | undefined
@@ -116,7 +120,8 @@
   }
 
   async start (): Promise<void> {
-    const { servers, nodeChannel, sharedLog, synchronizer, quotas, log, settings } = this.components
+    const { servers, nodeChannel, sharedLog, synchronizer, quotas, log, settings, memory } = this.components
+    memory.start()
     await Promise.all([servers.open(), nodeChannel.open()])
     quotas.start()
     sharedLog.start()
@@ -188,8 +193,9 @@
 
   /** Closes the node at once and aborts all requests in flight. */
   close (): void {
-    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections, quotas } = this.components
+    const { servers, nodeChannel, synchronizer, sharedLog, registrar, connections, quotas, memory } = this.components
     quotas.stop()
+    memory.stop()
     synchronizer.stop()
     registrar.stop()
     sharedLog.close()
@@ -206,15 +212,17 @@
     ...stateComponents(),
     random: Awilix.asFunction(createRandom).singleton(),
     localTarget: Awilix.asClass(LocalTargets.LocalTarget).singleton(),
+    memory: Awilix.asClass(Memories.Memory).singleton(),
+    inboundConnections: Awilix.asClass(ConnectionOwners.Connections).singleton(),
     views: Awilix.asClass(HostViews.HostViews).singleton(),
     costs: Awilix.asFunction(createCosts).singleton(),
-    connections: Awilix.asClass(ConnectionPools.ConnectionPool).singleton(),
+    connections: Awilix.asFunction(({ inboundConnections }: Cradle) => new ConnectionPools.ConnectionPool(inboundConnections.outboundLimit)).singleton(),
     nodeChannel: Awilix.asClass(NodeChannels.NodeChannel).singleton(),
     nodeRpc: Awilix.asClass(NodeRpcs.NodeRpc).singleton(),
     quarantine: Awilix.asClass(Quarantines.Quarantine).singleton(),
     dependencyControl: Awilix.asClass(DependencyControls.DependencyControl).singleton(),
     host: Awilix.asFunction((cradle: Cradle) => new Hosts.Host({
-      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, quarantine: cradle.quarantine, dependencyControl: cradle.dependencyControl,
+      clock: cradle.clock, dialect: cradle.dialect, log: cradle.log, metrics: cradle.metrics, localTarget: cradle.localTarget, memory: cradle.memory, quarantine: cradle.quarantine, dependencyControl: cradle.dependencyControl,
       targetAddress: cradle.settings.targetAddress, version: () => cradle.configuration.version, features: () => cradle.configuration.current?.features,
       onBreakerChanged: (target, report) => { cradle.reportChannel.broadcast(target, report) },
       onTargetLeaving: target => { void cradle.membership.recordLeaving(target) }
@@ -225,7 +233,7 @@
     retryBudget: Awilix.asFunction((cradle: Cradle) => new RetryBudgets.RetryBudget(() => cradle.settingsState.current.retryBudget)).singleton(),
     sender: Awilix.asFunction((cradle: Cradle) => new Senders.Sender({
       clock: cradle.clock, log: cradle.log, host: cradle.host, location: cradle.settings.location, callerService: cradle.settings.service, views: cradle.views, costs: cradle.costs, directory: cradle.directory, dialect: cradle.dialect,
-      connections: cradle.connections, dependencyControl: cradle.dependencyControl, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
+      connections: cradle.connections, dependencyControl: cradle.dependencyControl, memory: cradle.memory, onVersionSeen: (version, address) => { cradle.synchronizer.ensureVersion(version, address) }
     })).singleton(),
     destinationChooser: Awilix.asFunction(({ random }: Cradle) => new DestinationChoosers.DestinationChooser(random)).singleton(),
     quotas: Awilix.asClass(Quotas.Quotas).singleton(),
