--- a/packages/measurements/src/cost-placement.ts
+++ b/packages/measurements/src/cost-placement.ts
@@ -123,7 +123,7 @@
   byWork (views: Proxy.HostViews.HostViews, cost: number): Scored[] {
     return this.hosts.map(host => {
       const view = views.of(host.id)
-      return { host, cost: (Proxy.HostViews.outstandingWork(view, cost, this.now) + cost) * Math.min(Proxy.HostViews.slowness(view, this.now) ?? 1, 10) }
+      return { host, cost: (Proxy.HostViews.outstandingWork(view, { mean: cost, meanLeft: cost }, this.now) + 1) * Math.min(Proxy.HostViews.slowness(view, this.now) ?? 1, 10) }
     })
   }
 
--- a/packages/proxy/src/costs/service-costs.ts
+++ b/packages/proxy/src/costs/service-costs.ts
@@ -12,8 +12,12 @@
  * without limit, since only their product is measured; below 1, slowness returns to 1 for the average target.
  */
 const SLOWNESS_EXPONENT = 0.7
+/** Gives most of the weight to the last fifty reports, of any target of the service. */
+const WORK_SMOOTHING = 0.02
 
 export class ServiceCosts {
+  /** Mean work in ms that a request at a target has left, by service. */
+  private readonly workLeft = new LruCaches.LRUCache<string, number>({ max: SERVICES_MAXIMUM })
   private readonly tables = new LruCaches.LRUCache<string, CostTables.CostTable>({ max: SERVICES_MAXIMUM })
 
   /** Adds the time in ms of a request at a target of that slowness. */
@@ -31,6 +35,22 @@
     return this.table(service).mean
   }
 
+  /** Adds the work in ms that a target reports for the requests that it has. */
+  learnWork (service: Decisions.Ids.Service, left: number, requests: number): void {
+    if (requests < 1) return
+    const known = this.workLeft.get(service)
+    const each = left / requests
+    this.workLeft.set(service, known === undefined ? each : known + WORK_SMOOTHING * (each - known))
+  }
+
+  /**
+   * Mean work in ms that a request at a target has left. Beyond the mean cost when some requests take many times longer
+   * than others, since those are at a target for longer.
+   */
+  meanLeft (service: Decisions.Ids.Service): number {
+    return Math.max(this.workLeft.get(service) ?? this.mean(service), Number.MIN_VALUE)
+  }
+
   private table (service: Decisions.Ids.Service): CostTables.CostTable {
     const existing = this.tables.get(service)
     if (existing !== undefined) return existing
--- a/packages/proxy/src/entry/dispatch.ts
+++ b/packages/proxy/src/entry/dispatch.ts
@@ -147,7 +147,7 @@
   private cost (now: Decisions.Clock.Milliseconds): TargetSelectors.SelectionCriteria['cost'] {
     const { request, dependencies: { costs } } = this
     const learned = costs?.()
-    return learned === undefined ? undefined : { request: learned.expected(request.service, Senders.costKeyOf(request), now), mean: learned.mean(request.service) }
+    return learned === undefined ? undefined : { request: learned.expected(request.service, Senders.costKeyOf(request), now), mean: learned.mean(request.service), meanLeft: learned.meanLeft(request.service) }
   }
 
   private send (registration: Registrations.Registration, now: Decisions.Clock.Milliseconds): void {
--- a/packages/proxy/src/entry/host-views.ts
+++ b/packages/proxy/src/entry/host-views.ts
@@ -98,17 +98,23 @@
   return Math.max(view.inFlight, weight * (view.report.running + view.report.queued))
 }
 
+/** Work in ms of an average target that counts as one request: of one that was sent, and of one that a target reports. */
+export interface WorkUnits {
+  readonly mean: number
+  readonly meanLeft: number
+}
+
 /**
- * Estimated work at the target in ms of an average one: that of this node, or the reported work, which decays with the age
- * of the report, and what this node has sent since. Without a report of work, the requests count with the mean cost.
+ * Estimated work at the target, in requests: that of this node, or the reported work, which decays with the age of the
+ * report, and what this node has sent since. Without a report of work, its requests count.
  */
-export function outstandingWork (view: HostView, meanCost: number, now: Decisions.Clock.Milliseconds): number {
+export function outstandingWork (view: HostView, { mean, meanLeft }: WorkUnits, now: Decisions.Clock.Milliseconds): number {
   const { report } = view
-  if (report === undefined) return view.inFlightWork
+  if (report === undefined) return view.inFlightWork / mean
   // A slow target takes longer to work off what it has, and to send the next report.
   const weight = Math.exp(-Math.max(0, now - view.reportedAt) / (LOAD_DECAY * Math.max(1, slowness(view, now) ?? 1)))
-  const reported = report.work?.left ?? meanCost * (report.running + report.queued)
-  return Math.max(view.inFlightWork, weight * reported + view.workSinceReport)
+  const reported = report.work === undefined ? report.running + report.queued : report.work.left / meanLeft
+  return Math.max(view.inFlightWork / mean, weight * reported + view.workSinceReport / mean)
 }
 
 /** Whether the target had a free slot at its last report that this node has not used since. A target without a report counts as idle. */
--- a/packages/proxy/src/entry/sender.ts
+++ b/packages/proxy/src/entry/sender.ts
@@ -103,9 +103,11 @@
   }
 
   /** Learns the cost of a request from the service time that its host measured. */
-  private learnCost (request: Requests.EntryRequest, work: HostReports.WorkReport | undefined, served: number | undefined): void {
-    if (work === undefined || served === undefined) return
-    this.dependencies.costs()?.learn(request.service, costKeyOf(request), served, work.slowness, this.dependencies.clock.now())
+  private learnCost (request: Requests.EntryRequest, { work, running, queued }: HostReports.HostReport, served: number | undefined): void {
+    const costs = this.dependencies.costs()
+    if (work === undefined || costs === undefined) return
+    costs.learnWork(request.service, work.left, running + queued)
+    if (served !== undefined) costs.learn(request.service, costKeyOf(request), served, work.slowness, this.dependencies.clock.now())
   }
 
   private sendLocally (request: Requests.EntryRequest, registration: Registrations.Registration, { confirm, mayBeProbe, mayQueue, mayBypassBreaker }: AttemptOptions, expectation: HostedRequests.Expectation | undefined): Attempt {
@@ -150,7 +152,7 @@
     const { host, clock, views, dependencyControl } = this.dependencies
     const report = host.report()
     views.recordResponse(target, report, clock.now())
-    if (outcome.kind === 'answered') this.learnCost(request, report.work, outcome.served)
+    if (outcome.kind === 'answered') this.learnCost(request, report, outcome.served)
     if (dependencyControl.consistsOfCalls(request.route.name)) dependencyControl.recordCallRoute(request.route.name)
     this.avoidUnavailableTarget(target, outcome)
   }
@@ -216,7 +218,7 @@
         const { outcome, report } = Forwarding.parseOutcome(result.response)
         if (report !== undefined) {
           views.recordResponse(target, report, now)
-          this.learnCost(request, report.work, report.work?.served)
+          this.learnCost(request, report, report.work?.served)
           this.recordNeighbours(registration, report, now)
           onVersionSeen(report.version, host)
           if (report.isCallRoute === true) dependencyControl.recordCallRoute(request.route.name)
--- a/packages/proxy/src/entry/target-selector.ts
+++ b/packages/proxy/src/entry/target-selector.ts
@@ -17,8 +17,8 @@
   readonly mayBypassBreaker: boolean
   /** Targets that have already run the request or refused it. */
   readonly excluded: ReadonlySet<Decisions.Ids.TargetId>
-  /** Expected cost of the request, and the mean of its service, in ms of an average target; undefined while requests are placed by their number. */
-  readonly cost?: { readonly request: number, readonly mean: number } | undefined
+  /** Expected cost of the request in ms of an average target, and the units of its service; undefined while requests are placed by their number. */
+  readonly cost?: HostViews.WorkUnits & { readonly request: number } | undefined
 }
 
 /** 0: same node; 1: same data center; 2: same region; 3: another region. */
@@ -61,9 +61,9 @@
   return registration.region === location.region ? 2 : 3
 }
 
-/** Requests that the target has with this one; placed by cost, their work in units of the mean cost. */
+/** Requests that the target has with this one; placed by cost, weighted by their work. */
 function loadOf (view: HostViews.HostView, { cost }: SelectionCriteria, now: Decisions.Clock.Milliseconds): number {
-  return cost === undefined ? HostViews.outstandingRequests(view, now) + 1 : (HostViews.outstandingWork(view, cost.mean, now) + cost.request) / cost.mean
+  return cost === undefined ? HostViews.outstandingRequests(view, now) + 1 : HostViews.outstandingWork(view, cost, now) + cost.request / cost.mean
 }
 
 export class TargetSelector {
--- a/packages/proxy/tests/entry/cost-selection.test.ts
+++ b/packages/proxy/tests/entry/cost-selection.test.ts
@@ -8,7 +8,7 @@
 
 const at = Decisions.Clock.milliseconds
 const LOCATION: TargetSelectors.NodeLocation = { host: Decisions.Ids.endpoint('10.0.0.9:1'), dataCenter: Decisions.Ids.dataCenter('a'), region: Decisions.Ids.region('r') }
-const CRITERIA: TargetSelectors.SelectionCriteria = { isFailureFinal: false, mayBypassBreaker: false, excluded: new Set(), cost: { request: 200, mean: 200 } }
+const CRITERIA: TargetSelectors.SelectionCriteria = { isFailureFinal: false, mayBypassBreaker: false, excluded: new Set(), cost: { request: 200, mean: 200, meanLeft: 200 } }
 const [A, B] = [Samples.registration('a'), Samples.registration('bb')]
 
 function report (overrides: Partial<HostReports.HostReport>): HostReports.HostReport {
@@ -82,7 +82,7 @@
   const { views, share } = setup()
   const far = Samples.registration('bb', { region: Decisions.Ids.region('other'), dataCenter: Decisions.Ids.dataCenter('z') })
   for (const cost of [50, 800]) {
-    const criteria = { ...CRITERIA, cost: { request: cost, mean: cost } }
+    const criteria = { ...CRITERIA, cost: { request: cost, mean: cost, meanLeft: cost } }
     views.recordResponse(A.target, report({ work: work(9 * cost) }), at(0))
     assert.equal(share([A, far], 0, criteria), 1, 'a load of 10 requests on 4 slots is less than the distance')
     views.recordResponse(A.target, report({ work: work(12 * cost) }), at(0))
