perf(proxy): keep responses of usual size as they arrived

Cause: bodies above 64 KiB were copied into blocks.

Change: a body of up to 256 KiB stays in its chunks unless they are many and short; above 64 KiB it is passed on in them and written at once. Beyond that it is copied into blocks as before, and the chunks no longer count.

The processor time was not measured again before this commit.

--- a/packages/proxy/src/resources/body-reader.ts
+++ b/packages/proxy/src/resources/body-reader.ts
@@ -17,8 +17,11 @@
 
 export type BodyResult = neverthrow.Result<Contents.Content, BodyFailure>
 
-/** A body of no more chunks and no more bytes than one block is kept as it arrived. More chunks would take much more memory than their bytes. */
+/** A body of up to so many bytes, in chunks of some size, is kept as it arrived, which saves copies. Larger than most responses. */
+const LOOSE_BYTES = 262_144
+/** Chunks that may be shorter than `LOOSE_CHUNK_BYTES`: more of them would take much more memory than their bytes. */
 const LOOSE_CHUNKS = 16
+const LOOSE_CHUNK_BYTES = 8_192
 /** What the runtime takes for a chunk beside its bytes. */
 const CHUNK_OVERHEAD_BYTES = 512
 
@@ -56,7 +59,7 @@
       this.fail({ kind: 'too-large', limit: this.limit })
       return
     }
-    const isLoose = this.blocks.length === 0 && this.chunks.length < LOOSE_CHUNKS && this.length + chunk.length <= BlockPools.BLOCK_BYTES
+    const isLoose = this.blocks.length === 0 && this.chunks.length < LOOSE_CHUNKS + this.length / LOOSE_CHUNK_BYTES && this.length + chunk.length <= LOOSE_BYTES
     if (!(isLoose ? this.keep(chunk) : this.store(chunk))) this.fail({ kind: 'no-memory' })
   }
 
@@ -67,13 +70,16 @@
     return true
   }
 
-  /** Copies a chunk into blocks, and the chunks kept before it. Their memory stays counted. */
+  /** Copies a chunk into blocks, and the chunks kept before it. */
   private store (chunk: Buffer): boolean {
     const { chunks } = this
     if (chunks.length > 0) {
       this.chunks = []
       this.length = 0
-      for (const kept of chunks) if (!this.copy(kept)) return false
+      for (const kept of chunks) {
+        if (!this.copy(kept)) return false
+        this.memory.shrink(this.holding, kept.length + CHUNK_OVERHEAD_BYTES)
+      }
     }
     return this.copy(chunk)
   }
@@ -106,7 +112,7 @@
     if (this.isFinished) return
     this.detach()
     this.holding.drop = undefined
-    this.resolve(neverthrow.ok(this.blocks.length === 0 ? this.joinChunks() : this.passOnBlocks()))
+    this.resolve(neverthrow.ok(this.blocks.length === 0 && this.length <= BlockPools.BLOCK_BYTES ? this.joinChunks() : this.passOnBlocks()))
   }
 
   private joinChunks (): Buffer {
@@ -116,7 +122,7 @@
   private passOnBlocks (): Contents.BlockList {
     const last = this.blocks.pop()
     if (last !== undefined) this.blocks.push(last.subarray(0, this.filled))
-    const content = new Contents.BlockList(this.blocks, this.length, this.holding)
+    const content = new Contents.BlockList(last === undefined ? this.chunks : this.blocks, this.length, this.holding)
     this.memory.releaseWhenUnused(content)
     return content
   }
--- a/packages/proxy/src/resources/content.ts
+++ b/packages/proxy/src/resources/content.ts
@@ -24,12 +24,17 @@
 }
 
 /**
- * Writes the content and ends the stream. Blocks are written one after the other, each when the system has taken the one before.
+ * Writes the content and ends the stream. Many blocks are written one after the other, each when the system has taken the one before.
  * @param onProgress Called when the system has taken a block.
  */
 export function end (stream: Stream.Writable, content: Content, onProgress?: () => void): void {
-  if (content instanceof BlockList) writeBlocks(stream, content, 0, onProgress)
-  else stream.end(content)
+  if (!(content instanceof BlockList)) stream.end(content)
+  else if (content.length > TOGETHER_BYTES) writeBlocks(stream, content, 0, onProgress)
+  else {
+    stream.cork()
+    for (const block of content.blocks) stream.write(block)
+    stream.end()
+  }
 }
 
 function writeBlocks (stream: Stream.Writable, content: BlockList, index: number, onProgress: (() => void) | undefined): void {
@@ -46,4 +51,6 @@
   })
 }
 
+/** Content of up to this size is written at once. */
+const TOGETHER_BYTES = 262_144
 export const EMPTY: Buffer = Buffer.alloc(0)
--- a/packages/proxy/src/resources/memory-budget.ts
+++ b/packages/proxy/src/resources/memory-budget.ts
@@ -88,6 +88,13 @@
     return { isGranted: false, victims: this.chooseVictims(holding, this.used - this.pendingBytes + bytes - limit, isSmall) }
   }
 
+  /** Gives a part of the memory of a holding back. */
+  shrink (holding: Holding, bytes: number): void {
+    if (!holding.isOpen) return
+    holding.bytes -= bytes
+    this.usedBytes -= bytes
+  }
+
   /** Droppable holdings without progress for `timeout`. */
   stalled (timeout: number, now: Decisions.Clock.Milliseconds): Holding[] {
     return [...this.holdings].filter(({ drop, lastProgressAt }) => drop !== undefined && now - lastProgressAt >= timeout)
--- a/packages/proxy/src/resources/memory.ts
+++ b/packages/proxy/src/resources/memory.ts
@@ -127,6 +127,11 @@
     return second.victims.length > 0 && this.budget.grow(holding, bytes, now).isGranted
   }
 
+  /** Gives a part of the memory of a holding back. */
+  shrink (holding: MemoryBudgets.Holding, bytes: number): void {
+    this.budget.shrink(holding, bytes)
+  }
+
   /** Counts chunks that were copied and are garbage now. When memory is scarce, they are collected before the runtime would. */
   recordCopied (bytes: number): void {
     this.copiedBytes += bytes
