--- a/packages/proxy/src/dependencies/dependency-control.ts
+++ b/packages/proxy/src/dependencies/dependency-control.ts
@@ -150,10 +150,12 @@
 
   private* reportsOf (service: Decisions.Ids.Service, now: Decisions.Clock.Milliseconds): Iterable<ServiceFractions.FractionReport> {
     const { directory, views } = this.dependencies
-    for (const { target, slots } of directory.readyTargets(service)) {
+    const targets = directory.readyTargets(service)
+    // A target that answers with errors looks idle, and the calls that it does not get add to the demand of the others.
+    const healthy = targets.filter(({ target }) => views.of(target).report?.timeUntilProbe === undefined)
+    for (const { target, slots } of healthy.length > 0 ? healthy : targets) {
       const { report, reportedAt } = views.of(target)
-      // A target that answers with errors looks idle, and the calls that it does not get add to the demand of the others.
-      if (report !== undefined && report.timeUntilProbe === undefined) yield { slots, fraction: report.admissionFraction ?? 1, age: now - reportedAt }
+      if (report !== undefined) yield { slots, fraction: report.admissionFraction ?? 1, age: now - reportedAt }
     }
   }
 
--- a/packages/proxy/src/entry/gateway.ts
+++ b/packages/proxy/src/entry/gateway.ts
@@ -217,7 +217,7 @@
       priority: account?.priority ?? route.priority,
       isCall,
       // A parent fails with a call that is refused, after work that is lost then.
-      waitsUntilDeadline: isCall && this.dependencies.configuration.current?.features.admitsByDependencies === true,
+      waitsUntilDeadline: isCall && this.dependencies.configuration.current?.features.sharesFairly === true,
       arrivedAt,
       deadline,
       tryEndConnection: () => connection.tryEndWith(inbound)
