--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -187,10 +187,13 @@
   }
 }
 
-/** Resident memory of a process in bytes. */
+/** Resident memory of a process in bytes; 0 when it has ended. */
 export function residentBytes (child) {
-  const kilobytes = /VmRSS:\s*(\d+)/.exec(Fs.readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.[1]
-  return Number(kilobytes ?? 0) * 1_024
+  try {
+    return Number(/VmRSS:\s*(\d+)/.exec(Fs.readFileSync(`/proc/${child.pid}/status`, 'utf8'))?.[1] ?? 0) * 1_024
+  } catch {
+    return 0
+  }
 }
 
 export async function get (address, path) {
