--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -31,12 +31,33 @@
 
 /** What a case writes to `record.txt` in its folder. */
 export class Record {
-  constructor (folder) {
+  /** @param file `record.txt` in the folder of the case. */
+  constructor (file) {
     this.startedAt = performance.now()
-    this.file = Path.join(folder, 'record.txt')
+    this.file = file
     Fs.writeFileSync(this.file, '')
   }
 
+  /**
+   * Writes what was sent, answered and run, a line a request. `requests` have `id`, `node`, `status` (0: no complete answer),
+   * `sentAt`, `answeredAt`, and `hasLeft` if the client left before the answer.
+   */
+  writeRequests (requests, machines) {
+    const runs = new Map()
+    for (const { index, target } of machines) {
+      for (const run of target.runs) runs.set(run.id, [...runs.get(run.id) ?? [], { ...run, target: index }])
+    }
+    const lines = requests.map(({ id, node, status, sentAt, answeredAt, hasLeft }) => {
+      const ran = (runs.get(id) ?? []).map(run => `target ${run.target} from ${this.time(run.beganAt)} to ${this.time(run.endedAt)}, ${run.result}`).join('; ')
+      return `request ${id}: sent to node ${node} at ${this.time(sentAt)}; ${hasLeft === true ? `client left at ${this.time(answeredAt)}` : `answered ${status} at ${this.time(answeredAt)}`}; run: ${ran === '' ? 'no' : ran}\n`
+    })
+    Fs.appendFileSync(this.file, lines.join(''))
+  }
+
+  time (at) {
+    return at === undefined ? '-' : ((at - this.startedAt) / 1_000).toFixed(3)
+  }
+
   write (text) {
     Fs.appendFileSync(this.file, `${((performance.now() - this.startedAt) / 1_000).toFixed(3)} ${text}\n`)
   }
@@ -217,8 +238,8 @@
 }
 
 /** Runs a case: `act (fleet, record, isTroubled)` returns whether the rule held. */
-export async function runCase (folder, act) {
-  const record = new Record(folder)
+export async function runCase (file, act) {
+  const record = new Record(file)
   const isTroubled = process.env.TROUBLE !== '0'
   record.write(`disruption: ${isTroubled ? 'on' : 'off'}`)
   const limit = setTimeout(() => {
